Add the design, the build and the base part

Cause: the repository was empty. The ownership design comes first because all other parts rest on it. Ruled out: ownership per rack group, a lease per owned object, majority promises, wall clock leases and a central quota counter; docs/design.md gives the reasons.

--- /dev/null
+++ b/cmake/parts.cmake
@@ -0,0 +1,33 @@
+# The library: one static archive of all parts, built from src/<part>/*.cpp.
+file(GLOB COLTSFOOTRACK_SOURCES CONFIGURE_DEPENDS
+    src/base/*.cpp src/config/*.cpp src/coordination/*.cpp
+    src/placement/*.cpp src/routing/*.cpp src/wire/*.cpp src/http/*.cpp
+    src/store/*.cpp)
+add_library(coltsfootrack STATIC ${COLTSFOOTRACK_SOURCES})
+target_include_directories(coltsfootrack PUBLIC
+    $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/include>
+    $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}>)
+target_link_libraries(coltsfootrack PUBLIC
+    absl::status absl::statusor absl::flat_hash_map fmt::fmt
+    nlohmann_json::nlohmann_json prometheus-cpp::core OpenSSL::Crypto
+    PkgConfig::MICROHTTPD PkgConfig::CURL Threads::Threads)
+
+# The programs: every source of the part, with main in src/<program>.cpp.
+file(GLOB COLTSFOOTRACK_DAEMON_SOURCES CONFIGURE_DEPENDS src/daemon/*.cpp)
+if(COLTSFOOTRACK_DAEMON_SOURCES)
+    add_executable(coltsfootrackd ${COLTSFOOTRACK_DAEMON_SOURCES})
+    target_link_libraries(coltsfootrackd PRIVATE coltsfootrack)
+    install(TARGETS coltsfootrackd)
+endif()
+
+file(GLOB COLTSFOOTRACK_CLI_SOURCES CONFIGURE_DEPENDS src/cli/*.cpp)
+if(COLTSFOOTRACK_CLI_SOURCES)
+    add_executable(coltsfootrack-cli ${COLTSFOOTRACK_CLI_SOURCES})
+    set_target_properties(coltsfootrack-cli PROPERTIES
+        OUTPUT_NAME coltsfootrack)
+    target_link_libraries(coltsfootrack-cli PRIVATE coltsfootrack)
+    install(TARGETS coltsfootrack-cli)
+endif()
+
+install(TARGETS coltsfootrack EXPORT coltsfootrack-targets)
+install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
--- /dev/null
+++ b/cmake/tests.cmake
@@ -0,0 +1,37 @@
+# One CppUnit program per part, from test/<part>/*.cpp. test/runner.cpp holds
+# main; programs print "N passed, N failed" themselves.
+add_library(coltsfootrack-test-main OBJECT test/runner.cpp)
+target_link_libraries(coltsfootrack-test-main PUBLIC
+    coltsfootrack PkgConfig::CPPUNIT rapidcheck)
+
+foreach(part base config coordination placement routing wire http store
+        daemon cli)
+    file(GLOB sources CONFIGURE_DEPENDS test/${part}/*.cpp)
+    if(sources)
+        add_executable(test-${part} ${sources})
+        target_link_libraries(test-${part} PRIVATE coltsfootrack-test-main)
+        target_include_directories(test-${part} PRIVATE test)
+        add_test(NAME ${part} COMMAND test-${part})
+        set_tests_properties(${part} PROPERTIES
+            TIMEOUT 300 WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
+    endif()
+endforeach()
+
+# Stand-ins for the platform, workers and runners, one program per folder.
+foreach(program platform worker runner relay)
+    file(GLOB sources CONFIGURE_DEPENDS test/standins/${program}/*.cpp)
+    if(sources)
+        add_executable(standin-${program} ${sources})
+        target_link_libraries(standin-${program} PRIVATE coltsfootrack)
+        target_include_directories(standin-${program} PRIVATE test)
+    endif()
+endforeach()
+
+# Benchmarks and measurement programs, one program per source.
+file(GLOB benches CONFIGURE_DEPENDS bench/*.cpp)
+foreach(source ${benches})
+    get_filename_component(name ${source} NAME_WE)
+    add_executable(${name} ${source})
+    target_link_libraries(${name} PRIVATE coltsfootrack benchmark::benchmark)
+    target_include_directories(${name} PRIVATE bench test)
+endforeach()
--- /dev/null
+++ b/include/coltsfootrack/base/hex_token.hpp
@@ -0,0 +1,16 @@
+#ifndef COLTSFOOTRACK_BASE_HEX_TOKEN_HPP_INCLUDED
+#define COLTSFOOTRACK_BASE_HEX_TOKEN_HPP_INCLUDED
+
+#include <coltsfootrack/base/random_source.hpp>
+
+#include <string>
+
+namespace coltsfootrack::base
+{
+
+// A token of 32 hexadecimal digits drawn from the source, unique in practice.
+std::string hex_token(const random_source& random);
+
+} // namespace coltsfootrack::base
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/base/log.hpp
@@ -0,0 +1,35 @@
+#ifndef COLTSFOOTRACK_BASE_LOG_HPP_INCLUDED
+#define COLTSFOOTRACK_BASE_LOG_HPP_INCLUDED
+
+#include <coltsfootrack/base/log_level.hpp>
+
+#include <fmt/core.h>
+#include <string_view>
+
+namespace coltsfootrack::base
+{
+
+// Writes one line to standard error: time of day, level, part, message. Lines
+// below the level set by set_log_level are dropped.
+//
+// Thread safety: may be called from any thread; lines do not mix.
+void write_log(log_level level, std::string_view part,
+               std::string_view message);
+
+// Sets the lowest level that is written; the default is info.
+void set_log_level(log_level level);
+
+// Formats and writes a log line. Details are key=value pairs after a short
+// sentence:
+//
+//     log(log_level::info, "store", "Commit failed. conflict={}", key);
+template <class... Args>
+void log(log_level level, std::string_view part,
+         fmt::format_string<Args...> format, Args&&... args)
+{
+    write_log(level, part, fmt::format(format, std::forward<Args>(args)...));
+}
+
+} // namespace coltsfootrack::base
+
+#endif
