Add the public headers of the config part

Cause: the daemon is written against these types at the same time. Ruled out: JSON values in the public headers; callers would depend on the JSON library for plain lookups.

--- /dev/null
+++ b/include/coltsfootrack/config/address.hpp
@@ -0,0 +1,46 @@
+#ifndef COLTSFOOTRACK_CONFIG_ADDRESS_HPP_INCLUDED
+#define COLTSFOOTRACK_CONFIG_ADDRESS_HPP_INCLUDED
+
+#include <absl/status/statusor.h>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace coltsfootrack::config
+{
+
+// A TCP address: an IP number and a port. Host names are not accepted, because
+// processes reach each other by number only.
+struct address
+{
+    // IPv4 in dotted form or IPv6 without brackets.
+    std::string host;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const address& a, const address& b)
+    {
+        return std::tie(a.host, a.port) == std::tie(b.host, b.port);
+    }
+
+    friend bool operator!=(const address& a, const address& b)
+    {
+        return !(a == b);
+    }
+
+    friend bool operator<(const address& a, const address& b)
+    {
+        return std::tie(a.host, a.port) < std::tie(b.host, b.port);
+    }
+};
+
+// Parses "10.0.0.1:8080" or "[::1]:8080"; the port is 1 to 65535. Any other
+// text gives invalid_settings.
+absl::StatusOr<address> parse_address(std::string_view text);
+
+// The text that parse_address reads back.
+std::string to_string(const address& value);
+
+} // namespace coltsfootrack::config
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/config/workload.hpp
@@ -0,0 +1,59 @@
+#ifndef COLTSFOOTRACK_CONFIG_WORKLOAD_HPP_INCLUDED
+#define COLTSFOOTRACK_CONFIG_WORKLOAD_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/base/resources.hpp>
+#include <coltsfootrack/config/workload_kind.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <tuple>
+
+namespace coltsfootrack::config
+{
+
+// The whole description of a workload, from which jobs are submitted.
+struct workload
+{
+    base::workload_id name;
+    // The team that runs it and to which its use is accounted.
+    base::team_id team;
+    // Whether anyone may submit it without a key; see also queue.
+    bool open = false;
+    // The queue that it belongs to, or empty.
+    std::string queue;
+    workload_kind kind = workload_kind::batch;
+    // What one task asks for.
+    base::resources per_task;
+    // Tasks of one job, 1 to 10000.
+    std::uint32_t tasks = 1;
+    // The declared run time of a task; zero for a service without an end.
+    std::chrono::milliseconds run_time{0};
+    // A task never runs in two places at once.
+    bool exclusive = false;
+    // Placed before work that is not urgent.
+    bool urgent = false;
+    // A deleted workload is not found; its row stays.
+    bool deleted = false;
+
+    auto as_tuple() const
+    {
+        return std::tie(name, team, open, queue, kind, per_task, tasks,
+                        run_time, exclusive, urgent, deleted);
+    }
+
+    friend bool operator==(const workload& a, const workload& b)
+    {
+        return a.as_tuple() == b.as_tuple();
+    }
+
+    friend bool operator!=(const workload& a, const workload& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::config
+
+#endif
