Add the public headers of http and store

Cause: the daemon and the command-line tool are written against these interfaces at the same time as the parts themselves. Checked: all headers compile together with -Wall -Wextra -Wpedantic.

--- /dev/null
+++ b/include/coltsfootrack/http/client.hpp
@@ -0,0 +1,54 @@
+#ifndef COLTSFOOTRACK_HTTP_CLIENT_HPP_INCLUDED
+#define COLTSFOOTRACK_HTTP_CLIENT_HPP_INCLUDED
+
+#include <coltsfootrack/http/client_options.hpp>
+#include <coltsfootrack/http/client_result.hpp>
+#include <coltsfootrack/http/request.hpp>
+
+#include <chrono>
+#include <memory>
+#include <string>
+
+namespace coltsfootrack::http
+{
+
+// Sends HTTP/1.1 requests and keeps connections open between them.
+//
+//     client http(client_options{});
+//     const client_result result =
+//         http.send("10.0.0.7:8080", {"POST", "/run", {}, {}, body});
+//
+// Each call sends its request at most once: it follows no redirect, uses no
+// proxy, and never repeats a request on another connection. No header beyond
+// Host and Content-Length is added, so that control traffic stays small.
+//
+// Thread safety: all functions may be called from any thread at the same time;
+// each running call has a connection of its own.
+class client
+{
+public:
+    explicit client(const client_options& options);
+    client(const client&) = delete;
+    client& operator=(const client&) = delete;
+
+    // No call may be running.
+    ~client();
+
+    // Sends a request to a numeric address, "10.0.0.7:8080", and waits for the
+    // answer or the total timeout of the options.
+    client_result send(const std::string& address, const request& message);
+
+    // As above, with a total timeout of its own.
+    client_result send(const std::string& address, const request& message,
+                       std::chrono::milliseconds total_timeout);
+
+private:
+    class pool;
+
+    client_options options_;
+    std::unique_ptr<pool> pool_;
+};
+
+} // namespace coltsfootrack::http
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/store/table_hooks.hpp
@@ -0,0 +1,25 @@
+#ifndef COLTSFOOTRACK_STORE_TABLE_HOOKS_HPP_INCLUDED
+#define COLTSFOOTRACK_STORE_TABLE_HOOKS_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+
+#include <functional>
+
+namespace coltsfootrack::store
+{
+
+// Events of a session. They run on the commit thread and must not block.
+struct table_hooks
+{
+    // A commit of this daemon is known to have applied, so the session lease is
+    // counted from the time before that commit was sent. The first call means
+    // that the session is registered.
+    std::function<void(base::time_point commit_start)> on_renewal;
+    // The session was taken away: nothing can be committed any more. Called
+    // once; all waiting mutations are reported as unavailable (fenced).
+    std::function<void()> on_fenced;
+};
+
+} // namespace coltsfootrack::store
+
+#endif
