Add the public headers of wire and routing

Cause: the daemon is written against these parts at the same time. Ruled out: queueing messages for a peer that is not connected, since promises and freshness answers are void after a delay; a common connection for both directions, which would need a rule for simultaneous connects. Declarations only.

--- /dev/null
+++ b/include/coltsfootrack/routing/attempt_answer.hpp
@@ -0,0 +1,36 @@
+#ifndef COLTSFOOTRACK_ROUTING_ATTEMPT_ANSWER_HPP_INCLUDED
+#define COLTSFOOTRACK_ROUTING_ATTEMPT_ANSWER_HPP_INCLUDED
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace coltsfootrack::routing
+{
+
+// What arrived from a runner in answer to an attempt.
+struct attempt_answer
+{
+    // The X-Attempt-Id of the answer; empty if there was none.
+    std::string attempt_id;
+    // The declared length of the body; none if it was not declared.
+    std::optional<std::uint64_t> declared_length;
+    // The number of bytes of the body that arrived.
+    std::uint64_t received_length = 0;
+
+    friend bool operator==(const attempt_answer& a, const attempt_answer& b)
+    {
+        return a.attempt_id == b.attempt_id &&
+               a.declared_length == b.declared_length &&
+               a.received_length == b.received_length;
+    }
+
+    friend bool operator!=(const attempt_answer& a, const attempt_answer& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::routing
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/routing/request_flow.hpp
@@ -0,0 +1,115 @@
+#ifndef COLTSFOOTRACK_ROUTING_REQUEST_FLOW_HPP_INCLUDED
+#define COLTSFOOTRACK_ROUTING_REQUEST_FLOW_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/routing/attempt_outcome.hpp>
+#include <coltsfootrack/routing/backoff.hpp>
+#include <coltsfootrack/routing/request_step.hpp>
+#include <coltsfootrack/routing/request_traits.hpp>
+#include <coltsfootrack/routing/retry_budget.hpp>
+
+#include <cstdint>
+#include <optional>
+
+namespace coltsfootrack::routing
+{
+
+// The decisions for one request over all its attempts.
+//
+//     request_flow flow(traits, backoff(), budget, random);
+//     request_step step = flow.start(now);
+//     while (!std::holds_alternative<final_step>(step))
+//     {
+//         ... do the step, then step = flow.<event>(..., now) ...
+//     }
+//
+// Rules:
+// - Nothing is sent before a needed claim has succeeded.
+// - A request that is not idempotent is sent again only if every attempt so
+//   far proved that it did not run.
+// - Each sending after the first takes a token of the retry budget. Waiting
+//   for a free slot takes none, since nothing is sent.
+// - "Did not run" is stated only if every attempt proved it.
+// - After the final step every event returns the same final step, so that late
+//   events change nothing.
+//
+// Each event is for the step before it. An event that does not belong to the
+// last step is a fault of the caller: the flow ends with kind internal, and
+// the execution is unknown.
+//
+// Thread safety: none; one thread at a time. The budget is shared and must
+// outlive the flow.
+class request_flow
+{
+public:
+    request_flow(request_traits traits, backoff pauses, retry_budget& budget,
+                 base::random_source random);
+
+    // The first step.
+    request_step start(base::time_point now);
+
+    // The idempotency row is claimed.
+    request_step claim_succeeded(base::time_point now);
+
+    // The row was not claimed, for the given reason, and nothing was sent.
+    request_step claim_failed(base::error_kind reason, base::time_point now);
+
+    // The router found no runner: no_upstream, upstream_unreachable or
+    // upstream_full. Waits and asks again until the deadline, except for
+    // no_upstream.
+    request_step no_runner(base::error_kind reason, base::time_point now);
+
+    // The attempt of the last send_step has ended.
+    request_step attempt_ended(attempt_outcome outcome, base::time_point now);
+
+    // The time of the last wait_step has come.
+    request_step wait_ended(base::time_point now);
+
+    // The deadline has passed, during any step. An attempt in flight counts as
+    // sent and not answered.
+    request_step deadline_passed(base::time_point now);
+
+    // Attempts that ended or were in flight at the end.
+    std::uint32_t attempts() const;
+
+    // Whether every attempt so far is proved not to have run. The idempotency
+    // row is released after the final step if so, and kept as unknown if not,
+    // unless the final step has no error.
+    bool proved_not_run() const;
+
+private:
+    enum class state
+    {
+        created,
+        claiming,
+        sending,
+        waiting,
+        ended
+    };
+
+    request_step try_to_send(base::time_point now);
+    request_step pause(base::time_point now);
+    request_step finish(std::optional<base::error_kind> error);
+    request_step misuse();
+
+    request_traits traits_;
+    backoff pauses_;
+    retry_budget* budget_;
+    base::random_source random_;
+    state state_ = state::created;
+    std::uint32_t attempts_ = 0;
+    std::uint32_t pauses_made_ = 0;
+    // A retry for which a token was taken and that was not sent yet.
+    bool token_held_ = false;
+    // The kind of the last attempt that is not proved not to have run.
+    std::optional<base::error_kind> unproved_;
+    // The kind of the last proved refusal.
+    base::error_kind last_refusal_ = base::error_kind::deadline_passed;
+    final_step final_;
+};
+
+} // namespace coltsfootrack::routing
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/routing/request_step.hpp
@@ -0,0 +1,45 @@
+#ifndef COLTSFOOTRACK_ROUTING_REQUEST_STEP_HPP_INCLUDED
+#define COLTSFOOTRACK_ROUTING_REQUEST_STEP_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/execution.hpp>
+
+#include <optional>
+#include <variant>
+
+namespace coltsfootrack::routing
+{
+
+// Claim the idempotency row, then call claim_succeeded or claim_failed.
+struct claim_step
+{
+};
+
+// Pick a runner and send the request. Then call attempt_ended, or no_runner if
+// the router found none.
+struct send_step
+{
+};
+
+// Do nothing until the time, then call wait_ended.
+struct wait_step
+{
+    base::time_point until;
+};
+
+// Answer the caller. Without an error the answer is that of the last attempt.
+// The execution is the one to state in the answer and never says more than
+// what is proved; it equals the one in the table of error kinds.
+struct final_step
+{
+    std::optional<base::error_kind> error;
+    base::execution ran = base::execution::unknown;
+};
+
+// What to do next for a request.
+using request_step = std::variant<claim_step, send_step, wait_step, final_step>;
+
+} // namespace coltsfootrack::routing
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/routing/request_traits.hpp
@@ -0,0 +1,26 @@
+#ifndef COLTSFOOTRACK_ROUTING_REQUEST_TRAITS_HPP_INCLUDED
+#define COLTSFOOTRACK_ROUTING_REQUEST_TRAITS_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+
+#include <cstdint>
+
+namespace coltsfootrack::routing
+{
+
+// What a request_flow must know of its request.
+struct request_traits
+{
+    // Whether running the request twice has the same effect as running it once.
+    bool idempotent = false;
+    // Whether an idempotency row must be claimed before anything is sent.
+    bool needs_claim = false;
+    // When the caller's patience ends.
+    base::time_point deadline;
+    // The most times that the request is sent.
+    std::uint32_t max_attempts = 4;
+};
+
+} // namespace coltsfootrack::routing
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/routing/router.hpp
@@ -0,0 +1,91 @@
+#ifndef COLTSFOOTRACK_ROUTING_ROUTER_HPP_INCLUDED
+#define COLTSFOOTRACK_ROUTING_ROUTER_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/routing/attempt.hpp>
+#include <coltsfootrack/routing/attempt_outcome.hpp>
+#include <coltsfootrack/routing/router_options.hpp>
+#include <coltsfootrack/routing/runner.hpp>
+
+#include <absl/status/statusor.h>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace coltsfootrack::routing
+{
+
+// Chooses a runner for each request, on this daemon's own view of free slots.
+//
+//     router choice(options, system_random());
+//     choice.set_runners(service, runners, now);
+//     auto attempt = choice.pick(service, excluded, now);
+//     ... send to attempt->address ...
+//     choice.complete(*attempt, attempt_outcome::complete, slots_free, now);
+//
+// The own zone is preferred, then the own region, then the other region. A
+// farther choice is used only when no nearer runner is free: each one is full,
+// leaving, excluded or suspected. A runner is suspected after several
+// connection failures in a row and then gets single requests as probes.
+//
+// Limits: the table holds the runners of the last set_runners of each service
+// and at most one entry per attempt in flight.
+//
+// Thread safety: all functions may be called from any thread.
+class router
+{
+public:
+    router(router_options options, base::random_source random);
+    ~router();
+
+    router(const router&) = delete;
+    router& operator=(const router&) = delete;
+
+    // Replaces the runners of a service. Known runners keep their view and
+    // their attempts in flight. A runner that is missing or leaving gets
+    // nothing new from this call on. An empty list removes the service.
+    void set_runners(const base::service_id& service,
+                     const std::vector<runner>& runners, base::time_point now);
+
+    // For slot_leases: the daemon's rank, from 0, among the daemons that share
+    // the runners, and their number.
+    void set_daemons(std::uint32_t rank, std::uint32_t count);
+
+    // Marks a runner as leaving, from an X-Refused: leaving, until the next
+    // set_runners that lists it as leaving or does not list it.
+    void mark_leaving(const base::service_id& service,
+                      const base::runner_id& id);
+
+    // Chooses a runner and counts a slot of it as used. no_upstream if no live
+    // runner is known, upstream_unreachable if all live ones are suspected or
+    // excluded, upstream_full if no slot is free in the local view.
+    absl::StatusOr<attempt> pick(const base::service_id& service,
+                                 const std::vector<base::runner_id>& excluded,
+                                 base::time_point now);
+
+    // Ends an attempt of pick. The free slots are those that the runner
+    // reported, if it did. A second call for the same attempt has no effect.
+    void complete(const attempt& done, attempt_outcome outcome,
+                  std::optional<std::uint32_t> slots_free,
+                  base::time_point now);
+
+    // Attempts in flight.
+    std::size_t in_flight() const;
+
+    // Whether the runner is suspected.
+    bool suspected(const base::service_id& service,
+                   const base::runner_id& id) const;
+
+private:
+    class impl;
+
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace coltsfootrack::routing
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/frame_decoder.hpp
@@ -0,0 +1,64 @@
+#ifndef COLTSFOOTRACK_WIRE_FRAME_DECODER_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_FRAME_DECODER_HPP_INCLUDED
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coltsfootrack::wire
+{
+
+// The largest body of a frame, in bytes.
+constexpr std::size_t max_frame_bytes = 1024 * 1024;
+
+// The length of the prefix of a frame, in bytes.
+constexpr std::size_t frame_prefix_bytes = 4;
+
+// A body with its 4-byte big-endian length in front; peer_protocol if the body
+// is empty or larger than max_frame_bytes.
+absl::StatusOr<std::string> encode_frame(std::string_view body);
+
+// Splits the byte stream of one connection into frames.
+//
+//     frame_decoder decoder;
+//     decoder.append(bytes);
+//     for (;;)
+//     {
+//         auto frame = decoder.next(); // error: close the connection
+//         if (!frame.ok() || !*frame) break;
+//         use(**frame);
+//     }
+//
+// Limits: holds at most one incomplete frame and what was appended and not yet
+// taken by next(). An error is final: every later call gives it again.
+//
+// Thread safety: none; one thread at a time.
+class frame_decoder
+{
+public:
+    // Adds bytes received from the connection.
+    void append(std::string_view bytes);
+
+    // The next complete body, or nothing if more bytes are needed. An empty or
+    // oversized frame gives peer_protocol as soon as its prefix is known.
+    absl::StatusOr<std::optional<std::string>> next();
+
+    // Called when the connection has ended: ok between two frames, and
+    // peer_protocol if a frame was cut off.
+    absl::Status finish() const;
+
+    // Bytes held and not yet returned.
+    std::size_t buffered() const;
+
+private:
+    std::string buffer_;
+    std::size_t begin_ = 0;
+    absl::Status error_;
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/hello.hpp
@@ -0,0 +1,33 @@
+#ifndef COLTSFOOTRACK_WIRE_HELLO_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_HELLO_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+
+#include <cstdint>
+
+namespace coltsfootrack::wire
+{
+
+// First message on each connection: names the daemon that opened it.
+struct hello
+{
+    base::daemon_id daemon;
+    // The number of the process start, as in the session row.
+    std::uint64_t incarnation = 0;
+    base::zone_id zone;
+
+    friend bool operator==(const hello& a, const hello& b)
+    {
+        return a.daemon == b.daemon && a.incarnation == b.incarnation &&
+               a.zone == b.zone;
+    }
+
+    friend bool operator!=(const hello& a, const hello& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/message.hpp
@@ -0,0 +1,27 @@
+#ifndef COLTSFOOTRACK_WIRE_MESSAGE_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_MESSAGE_HPP_INCLUDED
+
+#include <coltsfootrack/wire/config_notice.hpp>
+#include <coltsfootrack/wire/freshness_answer.hpp>
+#include <coltsfootrack/wire/freshness_query.hpp>
+#include <coltsfootrack/wire/heartbeat.hpp>
+#include <coltsfootrack/wire/hello.hpp>
+#include <coltsfootrack/wire/job_notice.hpp>
+#include <coltsfootrack/wire/promise_answer.hpp>
+#include <coltsfootrack/wire/promise_request.hpp>
+#include <coltsfootrack/wire/usage_report.hpp>
+
+#include <variant>
+
+namespace coltsfootrack::wire
+{
+
+// Any message between daemons. The alternatives are in the order of
+// message_type.
+using message = std::variant<hello, heartbeat, promise_request, promise_answer,
+                             freshness_query, freshness_answer, config_notice,
+                             job_notice, usage_report>;
+
+} // namespace coltsfootrack::wire
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/peer_traffic.hpp
@@ -0,0 +1,38 @@
+#ifndef COLTSFOOTRACK_WIRE_PEER_TRAFFIC_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_PEER_TRAFFIC_HPP_INCLUDED
+
+#include <coltsfootrack/wire/message_type.hpp>
+
+#include <array>
+#include <cstdint>
+
+namespace coltsfootrack::wire
+{
+
+// Counters of peer_links since its start. Bytes include the frame prefix.
+struct peer_traffic
+{
+    struct counts
+    {
+        std::uint64_t messages = 0;
+        std::uint64_t bytes = 0;
+    };
+
+    // Indexed by message_type. A message counts as sent when its last byte was
+    // handed to the operating system.
+    std::array<counts, message_type_count> sent{};
+    std::array<counts, message_type_count> received{};
+    // Heartbeats removed from a full output queue.
+    std::uint64_t heartbeats_dropped = 0;
+    // Messages refused by send: peer unknown, not connected, or queue full
+    // without a heartbeat to drop.
+    std::uint64_t refused = 0;
+    // Connections closed because of a peer_protocol error.
+    std::uint64_t protocol_errors = 0;
+    // Outgoing connections that were established.
+    std::uint64_t connects = 0;
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
