--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -14,11 +14,15 @@
 
 # The programs: every source of the part, with main in src/<program>.cpp.
 file(GLOB COLTSFOOTRACK_DAEMON_SOURCES CONFIGURE_DEPENDS src/daemon/*.cpp)
-if(COLTSFOOTRACK_DAEMON_SOURCES)
-    add_executable(coltsfootrackd ${COLTSFOOTRACK_DAEMON_SOURCES})
-    target_link_libraries(coltsfootrackd PRIVATE coltsfootrack)
-    install(TARGETS coltsfootrackd)
-endif()
+list(REMOVE_ITEM COLTSFOOTRACK_DAEMON_SOURCES
+    ${PROJECT_SOURCE_DIR}/src/daemon/main.cpp)
+add_library(coltsfootrack-daemon STATIC ${COLTSFOOTRACK_DAEMON_SOURCES})
+target_link_libraries(coltsfootrack-daemon PUBLIC coltsfootrack)
+add_executable(coltsfootrackd src/daemon/main.cpp)
+target_compile_definitions(coltsfootrackd PRIVATE
+    COLTSFOOTRACK_VERSION="${PROJECT_VERSION}")
+target_link_libraries(coltsfootrackd PRIVATE coltsfootrack-daemon)
+install(TARGETS coltsfootrackd)
 
 file(GLOB COLTSFOOTRACK_CLI_SOURCES CONFIGURE_DEPENDS src/cli/*.cpp)
 if(COLTSFOOTRACK_CLI_SOURCES)
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -11,6 +11,9 @@
         add_executable(test-${part} ${sources})
         target_link_libraries(test-${part} PRIVATE coltsfootrack-test-main)
         target_include_directories(test-${part} PRIVATE test)
+        if(part STREQUAL daemon)
+            target_link_libraries(test-daemon PRIVATE coltsfootrack-daemon)
+        endif()
         add_test(NAME ${part} COMMAND test-${part})
         set_tests_properties(${part} PROPERTIES
             TIMEOUT 300 WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
--- /dev/null
+++ b/include/coltsfootrack/daemon/blocking_store.hpp
@@ -0,0 +1,24 @@
+#ifndef COLTSFOOTRACK_DAEMON_BLOCKING_STORE_HPP_INCLUDED
+#define COLTSFOOTRACK_DAEMON_BLOCKING_STORE_HPP_INCLUDED
+
+#include <coltsfootrack/store/table_client.hpp>
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::daemon
+{
+
+// Reads rows and waits for the answer; for connection threads only.
+absl::StatusOr<store::read_result> read_and_wait(store::table_client& table,
+                                                 std::vector<std::string> keys);
+
+// Commits and waits for the first outcome; for connection threads only. An
+// unknown outcome is returned as it is.
+store::commit_outcome commit_and_wait(store::table_client& table,
+                                      store::mutation change);
+
+} // namespace coltsfootrack::daemon
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/daemon/control_loop.hpp
@@ -0,0 +1,85 @@
+#ifndef COLTSFOOTRACK_DAEMON_CONTROL_LOOP_HPP_INCLUDED
+#define COLTSFOOTRACK_DAEMON_CONTROL_LOOP_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <utility>
+
+namespace coltsfootrack::daemon
+{
+
+// The event queue and timers of the control thread. All control state of the
+// daemon is touched only by functions that run here, so it needs no locks.
+//
+//     control_loop loop(clock, 65536);
+//     loop.every(std::chrono::seconds(2), [&] { renew(); });
+//     std::thread control([&] { loop.run(); });
+//     loop.post([&] { handle(event); });   // from any thread
+//
+// Limits: at most `capacity` events wait from try_post; beyond it the event is
+// refused, and the caller answers `overloaded`. Events from post are always
+// accepted: they are completions of operations that were bounded when they
+// started, and to lose one would lose state.
+//
+// Thread safety: post, try_post and stop may be called from any thread; after,
+// every and run belong to the control thread, or to the time before it starts.
+class control_loop
+{
+public:
+    using event = std::function<void()>;
+
+    control_loop(const base::clock& clock, std::size_t capacity);
+
+    // Queues an event of an operation that has already been admitted.
+    void post(event action);
+
+    // Queues an event from outside. Returns false if the queue is full.
+    bool try_post(event action);
+
+    // Runs the event once, after the given span.
+    void after(base::duration span, event action);
+
+    // Runs the event again and again; the period counts from the end of one
+    // run to the start of the next, so that runs do not pile up.
+    void every(base::duration period, event action);
+
+    // Runs events until stop is called.
+    void run();
+
+    void stop();
+
+    // The time that the control thread spent in events, for the metrics.
+    base::duration busy() const;
+
+private:
+    struct timer
+    {
+        event action;
+        base::duration period{0};
+    };
+
+    using timer_key = std::pair<base::time_point, std::uint64_t>;
+
+    bool run_due_timer();
+
+    const base::clock& clock_;
+    const std::size_t capacity_;
+    mutable std::mutex mutex_;
+    std::condition_variable wake_;
+    std::deque<event> queue_;
+    std::map<timer_key, timer> timers_;
+    std::uint64_t next_timer_ = 0;
+    base::duration busy_{0};
+    bool stopped_ = false;
+};
+
+} // namespace coltsfootrack::daemon
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/daemon/metrics.hpp
@@ -0,0 +1,65 @@
+#ifndef COLTSFOOTRACK_DAEMON_METRICS_HPP_INCLUDED
+#define COLTSFOOTRACK_DAEMON_METRICS_HPP_INCLUDED
+
+#include <coltsfootrack/base/error_kind.hpp>
+
+#include <array>
+#include <memory>
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <string>
+
+namespace coltsfootrack::daemon
+{
+
+// The metrics of one daemon, in the Prometheus text format at GET /metrics.
+// There is one refusal counter and one retry counter for each error kind, made
+// at the start, so that a reason that never occurred reads 0.
+//
+// Thread safety: all functions may be called from any thread.
+class metrics
+{
+public:
+    metrics();
+
+    // Counts a refusal answered to a caller, or decided by the scheduler.
+    void count_refusal(base::error_kind reason);
+
+    // Counts one more attempt at the same work.
+    void count_retry(base::error_kind reason);
+
+    // Counts an event by name, for example "task_started".
+    void count_event(const std::string& name, double amount = 1);
+
+    // Sets a value by name, for example "owner_epoch".
+    void set_value(const std::string& name, double value);
+
+    // Records the time from submission to the start of a task, in seconds.
+    void observe_wait(bool urgent, double seconds);
+
+    // Records the time of one request, in seconds.
+    void observe_request(double seconds);
+
+    // The text of GET /metrics.
+    std::string text() const;
+
+private:
+    using counter_table =
+        std::array<prometheus::Counter*, base::error_kind_count>;
+
+    std::shared_ptr<prometheus::Registry> registry_;
+    prometheus::Family<prometheus::Counter>& events_;
+    prometheus::Family<prometheus::Gauge>& values_;
+    counter_table refusals_{};
+    counter_table retries_{};
+    prometheus::Histogram* wait_ = nullptr;
+    prometheus::Histogram* wait_urgent_ = nullptr;
+    prometheus::Histogram* request_ = nullptr;
+};
+
+} // namespace coltsfootrack::daemon
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/daemon/store_session.hpp
@@ -0,0 +1,78 @@
+#ifndef COLTSFOOTRACK_DAEMON_STORE_SESSION_HPP_INCLUDED
+#define COLTSFOOTRACK_DAEMON_STORE_SESSION_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/config/daemon_settings.hpp>
+#include <coltsfootrack/daemon/control_loop.hpp>
+#include <coltsfootrack/store/table_client.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::daemon
+{
+
+// The daemon's session in the table. When the session is fenced, the next one
+// starts under a new incarnation.
+//
+// Thread safety: submit, read, fetch_vm_list and table may be called from any
+// thread; their callbacks run on the control thread. The rest belongs to the
+// control thread. Must outlive the control thread.
+class store_session
+{
+public:
+    // Events on the control thread. Each names the incarnation concerned, so
+    // that late events of an earlier one are recognised.
+    struct events
+    {
+        std::function<void(base::time_point commit_start)> on_renewal;
+        std::function<void()> on_fenced;
+    };
+
+    store_session(const config::daemon_settings& settings,
+                  const base::clock& clock, control_loop& loop,
+                  events handlers);
+
+    // Starts the first session.
+    void start();
+
+    // The incarnation of the present session.
+    std::string incarnation() const;
+
+    // The present client; it stays usable, and refuses, after a fence.
+    std::shared_ptr<store::table_client> table() const;
+
+    // As table_client::submit; a refusal is reported to the callback as
+    // unavailable.
+    void submit(store::mutation change,
+                store::table_client::commit_callback callback);
+
+    // As table_client::read; a refusal is reported to the callback.
+    void read(std::vector<std::string> keys, std::vector<std::string> prefixes,
+              store::table_client::read_callback callback);
+
+    void fetch_vm_list(store::table_client::vm_list_callback callback);
+
+    // Finishes queued mutations for at most the given time.
+    void stop(base::duration limit);
+
+private:
+    void open();
+
+    const config::daemon_settings& settings_;
+    const base::clock& clock_;
+    control_loop& loop_;
+    events handlers_;
+    base::random_source random_;
+    mutable std::mutex mutex_;
+    std::string incarnation_;
+    std::shared_ptr<store::table_client> table_;
+};
+
+} // namespace coltsfootrack::daemon
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/daemon/zone_scheduler.hpp
@@ -0,0 +1,159 @@
+#ifndef COLTSFOOTRACK_DAEMON_ZONE_SCHEDULER_HPP_INCLUDED
+#define COLTSFOOTRACK_DAEMON_ZONE_SCHEDULER_HPP_INCLUDED
+
+#include <coltsfootrack/daemon/environment.hpp>
+#include <coltsfootrack/daemon/job_record.hpp>
+#include <coltsfootrack/daemon/pending_reply.hpp>
+#include <coltsfootrack/daemon/quota_agent.hpp>
+#include <coltsfootrack/daemon/worker_agent.hpp>
+#include <coltsfootrack/placement/scheduler.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::daemon
+{
+
+// The work of a zone's owner under one epoch: it loads the jobs and claims of
+// the zone, adopts the workers, and carries out the scheduler's decisions.
+//
+// Rows are written in groups every 100 ms. An exclusive task is claimed in the
+// table before its start is sent.
+//
+// Thread safety: control thread only. Callbacks keep the object alive; after
+// stop they have no effect.
+class zone_scheduler : public std::enable_shared_from_this<zone_scheduler>
+{
+public:
+    // What the ownership agent knows.
+    struct permission
+    {
+        // Until when commands may be sent; nothing if the daemon may not act.
+        std::function<std::optional<base::time_point>()> acting_until;
+        // The version of the row owner/<zone> under this epoch.
+        std::function<std::uint64_t()> owner_version;
+    };
+
+    zone_scheduler(environment& shared, std::uint64_t epoch,
+                   permission allowed);
+
+    // Starts loading. To be called once, on an object held by shared_ptr.
+    void start();
+
+    // The epoch is over: nothing is sent or written any more.
+    void stop();
+
+    // Called every 50 ms by the owner of this object.
+    void step();
+
+    void on_vm_list();
+    void on_config_changed();
+
+    // A row of this job was written by a daemon.
+    void on_job_notice(const base::job_id& job);
+
+    // Reads all job rows of the zone, to find those whose notice was lost.
+    void refresh_jobs();
+
+    // The body of POST /v1/worker-events. The answer is sent when the rows
+    // concerned are written, since the worker forgets what was answered.
+    void on_worker_events(const nlohmann::json& body, reply_function reply);
+
+    // Why the job waits, as JSON; not_found if it is not of this zone.
+    http::response explain(const base::job_id& job) const;
+
+    // Teams, workers and queue for GET /v1/status.
+    nlohmann::json status() const;
+
+    // The booked part of the zone, in thousandths of the dominant resource.
+    std::uint32_t load_permille() const;
+
+    // Tasks that are booked now.
+    std::size_t running_tasks() const;
+
+private:
+    struct job_entry
+    {
+        job_record record;
+        store::version version = 0;
+        base::time_point submitted{};
+        bool dirty = false;
+        bool writing = false;
+    };
+
+    struct claim_entry
+    {
+        store::version version = 0;
+        std::string token;
+        std::string worker;
+    };
+
+    // A started task: where it was sent and whether the worker confirmed it.
+    struct placed_task
+    {
+        base::worker_id worker;
+        running_task task;
+        bool confirmed = false;
+        bool sent = false;
+    };
+
+    struct acknowledgement
+    {
+        std::size_t open = 0;
+        bool failed = false;
+        std::vector<reply_function> replies;
+    };
+
+    void load();
+    void loaded(const store::read_result& rows);
+    void add_job(const std::string& id, const store::row& row);
+    void restore_claims();
+    bool may_place() const;
+    void place();
+    void carry_out(const placement::action& action);
+    void start_task(const placement::action& action);
+    void claim_and_start(const placement::action& action);
+    void send_start(const placement::action& action);
+    void on_adopted(const store::vm_entry& vm,
+                    const std::vector<running_task>& running);
+    void on_result(const base::worker_id& worker, const running_task& task,
+                   const std::string& type, const std::string& status);
+    void on_lapsed(const base::worker_id& worker);
+    void task_ended(const running_task& task, const std::string& outcome,
+                    const std::string& reason);
+    void end_job(const base::job_id& job, const std::string& state,
+                 const std::string& detail);
+    void flush();
+    void write_job(const std::string& id, job_entry& entry,
+                   const std::shared_ptr<acknowledgement>& group);
+    std::string job_key(const std::string& id) const;
+    std::string claim_key(const base::task_id& task) const;
+
+    environment& shared_;
+    const std::uint64_t epoch_;
+    permission allowed_;
+    placement::scheduler scheduler_;
+    std::shared_ptr<worker_agent> workers_;
+    std::shared_ptr<quota_agent> quotas_;
+    std::map<std::string, job_entry> jobs_;
+    std::map<base::task_id, claim_entry> claims_;
+    std::map<base::task_id, placed_task> placed_;
+    std::set<base::worker_id> known_workers_;
+    std::vector<reply_function> waiting_replies_;
+    const base::time_point started_;
+    base::time_point next_flush_{};
+    base::time_point next_quota_{};
+    bool loaded_ = false;
+    bool refreshing_ = false;
+    bool stopped_ = false;
+};
+
+} // namespace coltsfootrack::daemon
+
+#endif
--- /dev/null
+++ b/src/daemon/control_loop.cpp
@@ -0,0 +1,136 @@
+// The event queue of the control thread. Timers take precedence over events,
+// so that lease renewal is not delayed by a full queue.
+
+#include <coltsfootrack/daemon/control_loop.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::daemon
+{
+
+control_loop::control_loop(const base::clock& clock, std::size_t capacity)
+    : clock_(clock)
+    , capacity_(capacity)
+{
+}
+
+void control_loop::post(event action)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        queue_.push_back(std::move(action));
+    }
+    wake_.notify_one();
+}
+
+bool control_loop::try_post(event action)
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (queue_.size() >= capacity_ || stopped_)
+        {
+            return false;
+        }
+        queue_.push_back(std::move(action));
+    }
+    wake_.notify_one();
+    return true;
+}
+
+void control_loop::after(base::duration span, event action)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    timers_.emplace(timer_key(clock_.now() + span, next_timer_++),
+                    timer{std::move(action), base::duration(0)});
+    wake_.notify_one();
+}
+
+void control_loop::every(base::duration period, event action)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    timers_.emplace(timer_key(clock_.now() + period, next_timer_++),
+                    timer{std::move(action), period});
+    wake_.notify_one();
+}
+
+bool control_loop::run_due_timer()
+{
+    timer due;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (timers_.empty() || timers_.begin()->first.first > clock_.now())
+        {
+            return false;
+        }
+        due = std::move(timers_.begin()->second);
+        timers_.erase(timers_.begin());
+    }
+    const auto start = clock_.now();
+    due.action();
+    const auto end = clock_.now();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    busy_ += end - start;
+    if (due.period > base::duration(0))
+    {
+        timers_.emplace(timer_key(end + due.period, next_timer_++),
+                        std::move(due));
+    }
+    return true;
+}
+
+void control_loop::run()
+{
+    for (;;)
+    {
+        while (run_due_timer())
+        {
+        }
+        event action;
+        {
+            std::unique_lock<std::mutex> lock(mutex_);
+            if (stopped_)
+            {
+                return;
+            }
+            if (queue_.empty())
+            {
+                // The bound keeps a clock that is advanced by hand in step.
+                auto wait = base::duration(std::chrono::milliseconds(100));
+                if (!timers_.empty())
+                {
+                    wait = std::min(wait, timers_.begin()->first.first -
+                                              clock_.now());
+                }
+                if (wait > base::duration(0))
+                {
+                    wake_.wait_for(lock, wait);
+                }
+                continue;
+            }
+            action = std::move(queue_.front());
+            queue_.pop_front();
+        }
+        const auto start = clock_.now();
+        action();
+        const auto end = clock_.now();
+        const std::lock_guard<std::mutex> lock(mutex_);
+        busy_ += end - start;
+    }
+}
+
+void control_loop::stop()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        stopped_ = true;
+    }
+    wake_.notify_all();
+}
+
+base::duration control_loop::busy() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return busy_;
+}
+
+} // namespace coltsfootrack::daemon
--- /dev/null
+++ b/src/daemon/worker_agent.cpp
@@ -0,0 +1,362 @@
+// Adoption, leases and commands of the workers of a zone. The rules are in
+// sections 3.3 and 3.4 of docs/design.md.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/coordination/timing.hpp>
+#include <coltsfootrack/daemon/resources_json.hpp>
+#include <coltsfootrack/daemon/worker_agent.hpp>
+#include <coltsfootrack/http/json_response.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootrack::daemon
+{
+namespace
+{
+
+constexpr auto part = "worker";
+constexpr std::chrono::seconds sync_interval{10};
+constexpr std::chrono::milliseconds call_timeout{1000};
+// With a longer period of unanswered renewals the worker's lease, and with it
+// the restart of its tasks elsewhere, would be put off further.
+constexpr std::chrono::seconds silent_after{5};
+constexpr std::chrono::milliseconds first_pause{200};
+constexpr std::chrono::milliseconds last_pause{2000};
+constexpr std::size_t max_commands_per_call = 64;
+
+running_task read_task(const nlohmann::json& value)
+{
+    running_task task;
+    task.task.job = base::job_id(value.at("job").get<std::string>());
+    task.task.index = value.at("index").get<std::uint32_t>();
+    task.token = value.value("token", std::string());
+    task.team = base::team_id(value.value("team", std::string()));
+    task.exclusive = value.value("exclusive", false);
+    if (value.contains("resources"))
+    {
+        task.size = resources_from_json(value.at("resources"));
+    }
+    return task;
+}
+
+} // namespace
+
+worker_agent::worker_agent(
+    environment& shared, std::uint64_t epoch,
+    std::function<std::optional<base::time_point>()> acting_until,
+    events handlers)
+    : shared_(shared)
+    , epoch_(epoch)
+    , acting_until_(std::move(acting_until))
+    , handlers_(std::move(handlers))
+    , started_(shared.clock.now())
+{
+}
+
+void worker_agent::set_workers(const std::vector<store::vm_entry>& workers)
+{
+    for (auto& [name, target] : links_)
+    {
+        target.listed = false;
+    }
+    for (const store::vm_entry& vm : workers)
+    {
+        auto [found, added] = links_.try_emplace(vm.name);
+        link& target = found->second;
+        target.listed = true;
+        if (added)
+        {
+            target.last_answer = shared_.clock.now();
+            // A former owner may have renewed its lease until the takeover.
+            target.last_renewal = started_;
+        }
+        target.vm = vm;
+    }
+}
+
+void worker_agent::add_unlisted(const base::worker_id& worker)
+{
+    auto [found, added] = links_.try_emplace(worker.text());
+    if (added)
+    {
+        found->second.vm.name = worker.text();
+        found->second.listed = false;
+        found->second.last_renewal = started_;
+    }
+}
+
+void worker_agent::command(const base::worker_id& worker,
+                           const running_task& task, const std::string& type,
+                           nlohmann::json extra)
+{
+    const auto found = links_.find(worker.text());
+    if (found == links_.end())
+    {
+        return;
+    }
+    extra["type"] = type;
+    extra["job"] = task.task.job.text();
+    extra["index"] = task.task.index;
+    extra["token"] = task.token;
+    found->second.commands.push_back({type, task, std::move(extra)});
+}
+
+void worker_agent::stop()
+{
+    stopped_ = true;
+}
+
+void worker_agent::step()
+{
+    const auto now = shared_.clock.now();
+    const auto until = acting_until_();
+    std::vector<std::string> ended;
+    for (auto& [name, target] : links_)
+    {
+        if (target.in_flight)
+        {
+            continue;
+        }
+        check_lapse(target, now);
+        if (!target.listed)
+        {
+            if (target.lapsed)
+            {
+                ended.push_back(name);
+            }
+            continue;
+        }
+        const bool due = target.state == link_state::active
+                             ? !target.commands.empty() ||
+                                   now >= target.last_renewal + sync_interval
+                             : true;
+        if (until && due && now >= target.next_call)
+        {
+            send(target, now, *until);
+        }
+    }
+    for (const std::string& name : ended)
+    {
+        links_.erase(name);
+    }
+}
+
+void worker_agent::check_lapse(link& target, base::time_point now)
+{
+    const coordination::timing periods;
+    const auto end = target.last_renewal + call_timeout + periods.worker_lease +
+                     periods.worker_margin;
+    if (target.lapsed || now < end)
+    {
+        return;
+    }
+    target.lapsed = true;
+    target.pending = false;
+    target.state = link_state::silent;
+    target.commands.clear();
+    target.sent_commands = 0;
+    base::log(base::log_level::warning, part,
+              "Worker lease has ended. worker={}", target.vm.name);
+    shared_.metrics.count_event("worker_lapsed");
+    handlers_.on_lapsed(base::worker_id(target.vm.name));
+}
+
+http::request worker_agent::make_request(link& target) const
+{
+    const coordination::timing periods;
+    const auto lease_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                              periods.worker_lease)
+                              .count();
+    http::request message;
+    message.method = "POST";
+    nlohmann::json body;
+    switch (target.state)
+    {
+    case link_state::silent:
+        message.method = "GET";
+        message.path = "/healthz";
+        return message;
+    case link_state::adopting:
+        message.path = "/v1/adopt";
+        body = {{"owner", config::to_string(shared_.settings.http)},
+                {"daemon", shared_.settings.id.text()},
+                {"epoch", epoch_},
+                {"lease_ms", lease_ms}};
+        break;
+    case link_state::active:
+        message.path = "/v1/sync";
+        body = {{"epoch", epoch_}, {"lease_ms", lease_ms}};
+        body["commands"] = nlohmann::json::array();
+        target.sent_commands =
+            std::min(target.commands.size(), max_commands_per_call);
+        for (std::size_t i = 0; i < target.sent_commands; ++i)
+        {
+            body["commands"].push_back(target.commands[i].body);
+        }
+        break;
+    }
+    message.body = body.dump();
+    return message;
+}
+
+void worker_agent::send(link& target, base::time_point now,
+                        base::time_point until)
+{
+    http::request message = make_request(target);
+    if (target.state != link_state::silent)
+    {
+        target.last_renewal = now;
+        target.lapsed = false;
+    }
+    target.in_flight = true;
+    shared_.metrics.count_event("worker_call");
+    shared_.calls.call(target.vm.address, std::move(message), call_timeout,
+                       until,
+                       [self = shared_from_this(), name = target.vm.name](
+                           const http::client_result& result)
+                       { self->answered(name, result); });
+}
+
+void worker_agent::answered(const std::string& name,
+                            const http::client_result& result)
+{
+    const auto found = links_.find(name);
+    if (stopped_ || found == links_.end())
+    {
+        return;
+    }
+    link& target = found->second;
+    target.in_flight = false;
+    const auto now = shared_.clock.now();
+    if (!result.ok())
+    {
+        failed(target, now);
+        return;
+    }
+    target.last_answer = now;
+    target.failures = 0;
+    if (target.state == link_state::silent)
+    {
+        target.state = link_state::adopting;
+        return;
+    }
+    if (result.answer.status == 410)
+    {
+        target.state = link_state::adopting;
+        return;
+    }
+    const auto body = http::parse_object(result.answer.body);
+    if (result.answer.status != 200 || !body.ok())
+    {
+        base::log(base::log_level::warning, part,
+                  "Worker refused a call. worker={} status={}", name,
+                  result.answer.status);
+        target.state = link_state::adopting;
+        target.next_call = now + last_pause;
+        return;
+    }
+    try
+    {
+        if (target.state == link_state::adopting)
+        {
+            adopted(target, *body);
+        }
+        else
+        {
+            synced(target, *body);
+        }
+    }
+    catch (const nlohmann::json::exception& error)
+    {
+        base::log(base::log_level::warning, part,
+                  "Worker answer is malformed. worker={} error={}", name,
+                  error.what());
+        target.next_call = now + last_pause;
+    }
+}
+
+void worker_agent::failed(link& target, base::time_point now)
+{
+    ++target.failures;
+    shared_.metrics.count_retry(base::error_kind::worker_unreachable);
+    const auto pause = first_pause * (1U << std::min(target.failures, 4U));
+    target.next_call = now + std::min<base::duration>(pause, last_pause);
+    target.sent_commands = 0;
+    if (target.state != link_state::silent &&
+        now - target.last_answer > silent_after)
+    {
+        target.state = link_state::silent;
+        base::log(base::log_level::warning, part,
+                  "Worker does not answer. worker={}", target.vm.name);
+        handlers_.on_silent(base::worker_id(target.vm.name));
+    }
+}
+
+void worker_agent::adopted(link& target, const nlohmann::json& body)
+{
+    std::vector<running_task> running;
+    for (const nlohmann::json& value : body.at("running"))
+    {
+        running.push_back(read_task(value));
+    }
+    target.state = link_state::active;
+    target.pending = false;
+    target.lapsed = false;
+    handlers_.on_adopted(target.vm, running);
+}
+
+void worker_agent::synced(link& target, const nlohmann::json& body)
+{
+    std::vector<command_item> done;
+    const std::size_t sent = std::exchange(target.sent_commands, 0);
+    for (std::size_t i = 0; i < sent && !target.commands.empty(); ++i)
+    {
+        done.push_back(std::move(target.commands.front()));
+        target.commands.pop_front();
+    }
+    const nlohmann::json& results = body.at("results");
+    for (std::size_t i = 0; i < done.size() && i < results.size(); ++i)
+    {
+        handlers_.on_result(base::worker_id(target.vm.name), done[i].task,
+                            done[i].type,
+                            results[i].at("status").get<std::string>());
+    }
+    for (const nlohmann::json& value :
+         body.value("usage", nlohmann::json::array()))
+    {
+        running_task task = read_task(value);
+        task.size = resources_from_json(value);
+        handlers_.on_usage(task);
+    }
+}
+
+base::resources worker_agent::pending_capacity() const
+{
+    base::resources sum;
+    for (const auto& [name, target] : links_)
+    {
+        if (target.pending)
+        {
+            sum += target.vm.capacity;
+        }
+    }
+    return sum;
+}
+
+std::size_t worker_agent::pending() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(),
+                      [](const auto& entry) { return entry.second.pending; }));
+}
+
+std::size_t worker_agent::active() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(links_.begin(), links_.end(),
+                      [](const auto& entry)
+                      { return entry.second.state == link_state::active; }));
+}
+
+} // namespace coltsfootrack::daemon
