--- a/include/coltsfootrack/coordination/config_freshness.hpp
+++ b/include/coltsfootrack/coordination/config_freshness.hpp
@@ -37,7 +37,10 @@
     static constexpr std::size_t max_rounds = 8;
     static constexpr std::size_t max_pending = 16;
 
-    explicit config_freshness(timing periods = {});
+    // Rounds are numbered from first_round + 1. A random number prevents that
+    // an answer to a former process is taken for one to this process.
+    explicit config_freshness(timing periods = {},
+                              std::uint64_t first_round = 0);
 
     // The configuration of this sequence is in force. Lower ones are ignored.
     void applied(std::uint64_t sequence, base::time_point now);
@@ -96,9 +99,11 @@
     base::time_point sequence_since_{};
     std::uint64_t known_sequence_ = 0;
     membership_row membership_;
+    // The head that was read together with membership_.
+    std::uint64_t membership_sequence_ = 0;
     std::optional<base::time_point> proof_;
     std::vector<evidence> pending_;
-    std::uint64_t last_round_ = 0;
+    std::uint64_t last_round_;
     std::vector<query_round> rounds_;
 };
 
--- a/include/coltsfootrack/coordination/quota_ledger.hpp
+++ b/include/coltsfootrack/coordination/quota_ledger.hpp
@@ -81,7 +81,9 @@
 private:
     base::resources shrink_target() const;
     base::resources idle_floor(base::time_point now) const;
-    void restart_shrink(base::time_point now);
+    base::resources wanted_slice(base::time_point now) const;
+    bool over_limit() const;
+    void update_shrink(base::time_point now);
 
     base::team_id team_;
     base::zone_id zone_;
@@ -99,11 +101,12 @@
     std::optional<quota_proposal> proposal_;
     bool in_doubt_ = false;
     std::uint64_t last_proposal_ = 0;
-    // The row from which the present proportional shrink was computed, and
-    // when; the zones that did not follow the previous one.
+    // The row from which the present proportional shrink is computed, and
+    // since when.
     std::optional<quota_row> shrink_base_;
-    std::optional<base::resources> shrink_fixed_;
     base::time_point shrink_since_{};
+    // The slices of the zones that did not follow the previous shrink.
+    base::resources shrink_fixed_;
 };
 
 } // namespace coltsfootrack::coordination
--- a/include/coltsfootrack/coordination/timing.hpp
+++ b/include/coltsfootrack/coordination/timing.hpp
@@ -31,6 +31,9 @@
     // The longest interval between two VM lists that still shows continuous
     // absence.
     base::duration list_gap = std::chrono::seconds(10);
+    // The oldest table read on which a takeover or a change of candidates is
+    // based.
+    base::duration observation_recent = std::chrono::seconds(3);
     // A daemon whose session row changed within this period can be made a
     // candidate.
     base::duration session_recent = std::chrono::seconds(10);
--- a/include/coltsfootrack/coordination/zone_ownership.hpp
+++ b/include/coltsfootrack/coordination/zone_ownership.hpp
@@ -126,6 +126,9 @@
         base::time_point since;
         // When an answer first showed this incarnation.
         base::time_point incarnation_since;
+        // The last time the daemon was known to be alive. Unlike since, it is
+        // moved forward after a time without table reads.
+        base::time_point heard;
     };
 
     struct candidate_state
@@ -143,8 +146,10 @@
                        const std::string& incarnation,
                        base::time_point now) const;
     bool may_take_over(base::time_point now) const;
-    std::size_t takeover_rank() const;
+    std::int64_t takeover_rank(base::time_point now) const;
+    bool observed_recently(base::time_point now) const;
     std::vector<base::daemon_id> wanted_candidates(base::time_point now) const;
+    void update_sessions(const zone_observation& seen, base::time_point now);
     void adopt_row(const owner_row& row, std::uint64_t version);
     void update_counted();
     ownership_proposal make_proposal(ownership_change change, owner_row row);
@@ -164,6 +169,11 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t row_version_ = 0;
     owner_row row_;
+    // The highest epoch seen in the row or in a promise request.
+    std::uint64_t epoch_ = 0;
+    std::optional<base::time_point> last_observed_;
+    // Since when the conditions of a takeover hold.
+    std::optional<base::time_point> eligible_since_;
     std::map<base::daemon_id, session_watch> sessions_;
     std::vector<listed_daemon> list_;
     absence_tracker absence_;
