--- a/include/coltsfootrack/config/daemon_settings.hpp
+++ b/include/coltsfootrack/config/daemon_settings.hpp
@@ -37,7 +37,7 @@
 
 // The largest settings text and the most peers that parse_settings accepts.
 // The design size is 18 daemons.
-constexpr std::size_t max_settings_bytes = 256 * 1024;
+constexpr std::size_t max_settings_bytes = std::size_t{256} * 1024;
 constexpr std::size_t max_peers = 127;
 
 // Reads settings from JSON with comments. Checks each field for type and
--- a/include/coltsfootrack/config/service.hpp
+++ b/include/coltsfootrack/config/service.hpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/base/id.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -33,6 +34,14 @@
     // A deleted service is not found; its row stays.
     bool deleted = false;
 
+    // Whether requests with a key of the team are accepted.
+    bool accepts(const base::team_id& presenter) const
+    {
+        return open ||
+               std::binary_search(teams.begin(), teams.end(), presenter);
+    }
+
+    // All fields, for comparison.
     auto as_tuple() const
     {
         return std::tie(name, teams, open, queue, idempotent, timeout,
--- a/include/coltsfootrack/config/snapshot.hpp
+++ b/include/coltsfootrack/config/snapshot.hpp
@@ -109,6 +109,8 @@
 
     snapshot(std::uint64_t sequence, entries objects);
 
+    entries objects_after(const ticket& change) const;
+
     template <class T>
     const T* find(std::string_view kind, const std::string& name) const;
 
--- a/include/coltsfootrack/config/ticket.hpp
+++ b/include/coltsfootrack/config/ticket.hpp
@@ -15,7 +15,7 @@
 
 // The bounds of a ticket. A ticket is written twice in one commit (log and
 // object rows), which must stay under the table's 500 writes and 1 MiB.
-constexpr std::size_t max_ticket_bytes = 256 * 1024;
+constexpr std::size_t max_ticket_bytes = std::size_t{256} * 1024;
 constexpr std::size_t max_ticket_objects = 400;
 
 // The largest ticket number; JSON numbers are exact up to 2^53.
--- a/include/coltsfootrack/config/workload.hpp
+++ b/include/coltsfootrack/config/workload.hpp
@@ -19,7 +19,8 @@
     base::workload_id name;
     // The team that runs it and to which its use is accounted.
     base::team_id team;
-    // Whether anyone may submit it without a key; see also queue.
+    // Whether anyone may submit it, without a key or with any team's key; see
+    // also queue.
     bool open = false;
     // The queue that it belongs to, or empty.
     std::string queue;
@@ -37,6 +38,13 @@
     // A deleted workload is not found; its row stays.
     bool deleted = false;
 
+    // Whether a team may submit it with its key.
+    bool accepts(const base::team_id& presenter) const
+    {
+        return open || presenter == team;
+    }
+
+    // All fields, for comparison.
     auto as_tuple() const
     {
         return std::tie(name, team, open, queue, kind, per_task, tasks,
--- /dev/null
+++ b/src/config/json_text.hpp
@@ -0,0 +1,23 @@
+#ifndef COLTSFOOTRACK_CONFIG_JSON_TEXT_HPP_INCLUDED
+#define COLTSFOOTRACK_CONFIG_JSON_TEXT_HPP_INCLUDED
+
+#include "error_list.hpp"
+
+#include <cstddef>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string_view>
+
+namespace coltsfootrack::config
+{
+
+// Parses JSON with comments, or adds errors and returns nothing. Refuses texts
+// above max_bytes and objects that give a field twice, of which the JSON
+// library would silently keep the last. Errors name the place but never quote
+// the text, which may contain a secret.
+std::optional<nlohmann::json>
+parse_json(std::string_view text, std::size_t max_bytes, error_list& errors);
+
+} // namespace coltsfootrack::config
+
+#endif
