--- a/include/coltsfootrack/http/server_options.hpp
+++ b/include/coltsfootrack/http/server_options.hpp
@@ -16,8 +16,8 @@
     std::string address = "127.0.0.1";
     // 0 lets the operating system choose; see server::port.
     std::uint16_t port = 0;
-    // Each connection has a thread. Further connections wait in the backlog of
-    // the listening socket until one ends.
+    // Each connection has a thread. A few further connections are answered
+    // with overloaded and closed, those beyond are closed without an answer.
     std::size_t max_connections = 256;
     // A longer body is answered with body_too_large.
     std::size_t max_body_bytes = std::size_t{1} << 20U;
