Add the platform stand-in

Cause: the table client, the daemon and the measurements need the platform's table, object store and VM list with faults on request. Ruled out: a thread per connection (hundreds of workers in one process need few threads); relying on MHD_get_timeout after a resume, which does not report resumed connections when the loop is external (answers then hung).

--- /dev/null
+++ b/test/standins/support/exchange.hpp
@@ -0,0 +1,156 @@
+#ifndef COLTSFOOTRACK_TEST_STANDINS_SUPPORT_EXCHANGE_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_STANDINS_SUPPORT_EXCHANGE_HPP_INCLUDED
+
+#include <coltsfootrack/http/request.hpp>
+#include <coltsfootrack/http/response.hpp>
+
+#include <algorithm>
+#include <cstring>
+#include <fmt/core.h>
+#include <microhttpd.h>
+#include <string>
+#include <sys/socket.h>
+
+namespace coltsfootrack::standins
+{
+
+// One request of a stand-in, answered at once or later, completely or with a
+// fault. Used on the thread of the event loop only. Exactly one of the
+// functions that end it must be called.
+class exchange
+{
+public:
+    http::request message;
+
+    // The complete answer.
+    void answer(http::response response)
+    {
+        end(kind::whole, std::move(response));
+    }
+
+    // Declares the whole length, sends half of the body and closes.
+    void truncate(http::response response)
+    {
+        end(kind::half, std::move(response));
+    }
+
+    // Sends the answer twice.
+    void duplicate(http::response response)
+    {
+        end(kind::twice, std::move(response));
+    }
+
+    // Resets the connection without an answer.
+    void reset()
+    {
+        end(kind::none, {});
+    }
+
+private:
+    friend class http_port;
+
+    enum class kind
+    {
+        open,
+        whole,
+        half,
+        twice,
+        none
+    };
+
+    void end(kind as, http::response response)
+    {
+        ended_ = as;
+        response_ = std::move(response);
+        if (suspended_)
+        {
+            suspended_ = false;
+            MHD_resume_connection(connection_);
+            *resumed_ = true;
+        }
+    }
+
+    MHD_Result queue() const
+    {
+        if (ended_ == kind::none)
+        {
+            const linger abort{1, 0};
+            ::setsockopt(descriptor(), SOL_SOCKET, SO_LINGER, &abort,
+                         sizeof abort);
+            return MHD_NO;
+        }
+        if (ended_ == kind::twice)
+        {
+            const std::string copy = raw_text();
+            ::send(descriptor(), copy.data(), copy.size(), MSG_NOSIGNAL);
+        }
+        MHD_Response* out = nullptr;
+        if (ended_ == kind::half)
+        {
+            out = MHD_create_response_from_callback(
+                std::max<std::size_t>(response_.body.size(), 1), 4096,
+                &read_half, new std::string(response_.body),
+                [](void* body) { delete static_cast<std::string*>(body); });
+        }
+        else
+        {
+            out = MHD_create_response_from_buffer(
+                response_.body.size(),
+                const_cast<char*>(response_.body.data()), // NOLINT
+                MHD_RESPMEM_MUST_COPY);
+        }
+        for (const auto& [name, value] : response_.headers.fields())
+        {
+            MHD_add_response_header(out, name.c_str(), value.c_str());
+        }
+        const MHD_Result result = MHD_queue_response(
+            connection_, static_cast<unsigned>(response_.status), out);
+        MHD_destroy_response(out);
+        return result;
+    }
+
+    static ssize_t read_half(void* context, std::uint64_t position,
+                             char* target, std::size_t size)
+    {
+        const auto& body = *static_cast<const std::string*>(context);
+        const std::size_t half = body.size() / 2;
+        if (position >= half)
+        {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        const std::size_t length = std::min(size, half - position);
+        std::memcpy(target, body.data() + position, length);
+        return static_cast<ssize_t>(length);
+    }
+
+    std::string raw_text() const
+    {
+        std::string text =
+            fmt::format("HTTP/1.1 {} OK\r\nContent-Length: {}\r\n",
+                        response_.status, response_.body.size());
+        for (const auto& [name, value] : response_.headers.fields())
+        {
+            text += fmt::format("{}: {}\r\n", name, value);
+        }
+        return text + "\r\n" + response_.body;
+    }
+
+    int descriptor() const
+    {
+        return MHD_get_connection_info(connection_,
+                                       MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    }
+
+    MHD_Connection* connection_ = nullptr;
+    // Tells the port that a connection was resumed.
+    bool* resumed_ = nullptr;
+    bool handled_ = false;
+    bool suspended_ = false;
+    kind ended_ = kind::open;
+    http::response response_;
+};
+
+} // namespace coltsfootrack::standins
+
+#endif
