Add messages, frames and links between daemons

Ruled out: one connection for both directions, which needs a rule for simultaneous connects; keeping messages over a reconnection, since promises and freshness answers are void after a delay; reading FlatBuffers in place, since scalars would be read at addresses that are not aligned. Change: encode, decode, frame_decoder and peer_links with one thread. decode refuses entries that share a table: the verifier accepts them, and 20,000 entries in 100 KB would take 200 MB when decoded.

--- a/include/coltsfootrack/routing/attempt_table.hpp
+++ b/include/coltsfootrack/routing/attempt_table.hpp
@@ -47,7 +47,7 @@
     std::size_t size() const;
 
 private:
-    const std::size_t capacity_;
+    std::size_t capacity_;
     mutable std::mutex mutex_;
     absl::flat_hash_map<std::string, std::uint64_t> open_;
 };
--- a/include/coltsfootrack/routing/retry_budget.hpp
+++ b/include/coltsfootrack/routing/retry_budget.hpp
@@ -37,7 +37,7 @@
 private:
     void refill(base::time_point now);
 
-    const retry_budget_options options_;
+    retry_budget_options options_;
     mutable std::mutex mutex_;
     // In thousandths of a token, so that no rounding accumulates.
     std::int64_t milli_tokens_;
--- a/include/coltsfootrack/wire/frame_decoder.hpp
+++ b/include/coltsfootrack/wire/frame_decoder.hpp
@@ -12,7 +12,7 @@
 {
 
 // The largest body of a frame, in bytes.
-constexpr std::size_t max_frame_bytes = 1024 * 1024;
+constexpr std::size_t max_frame_bytes = std::size_t(1024) * 1024;
 
 // The length of the prefix of a frame, in bytes.
 constexpr std::size_t frame_prefix_bytes = 4;
--- a/include/coltsfootrack/wire/peer_links_options.hpp
+++ b/include/coltsfootrack/wire/peer_links_options.hpp
@@ -21,7 +21,7 @@
     std::uint16_t listen_port = 0;
     // Bounds of the output queue of one peer.
     std::size_t max_queued_messages = 1024;
-    std::size_t max_queued_bytes = 4 * 1024 * 1024;
+    std::size_t max_queued_bytes = std::size_t(4) * 1024 * 1024;
     // Incoming connections beyond this number are closed at once. Two per peer
     // allow a peer to reconnect before its former connection is seen to end.
     std::size_t max_incoming = 128;
--- a/include/coltsfootrack/wire/peer_traffic.hpp
+++ b/include/coltsfootrack/wire/peer_traffic.hpp
@@ -29,6 +29,9 @@
     std::uint64_t refused = 0;
     // Connections closed because of a peer_protocol error.
     std::uint64_t protocol_errors = 0;
+    // Incoming connections closed because their hello named no configured peer
+    // in its zone. Expected for a while after a VM was replaced.
+    std::uint64_t unknown_peers = 0;
     // Outgoing connections that were established.
     std::uint64_t connects = 0;
 };
--- /dev/null
+++ b/src/wire/decode.cpp
@@ -0,0 +1,228 @@
+// FlatBuffers to messages.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/wire/codec.hpp>
+#include <coltsfootrack/wire/frame_decoder.hpp>
+#include <coltsfootrack/wire/peer_generated.hpp>
+
+#include <cstdint>
+#include <cstring>
+#include <optional>
+#include <vector>
+
+namespace coltsfootrack::wire
+{
+namespace
+{
+
+absl::Status protocol_error(std::string_view detail)
+{
+    return base::make_error(base::error_kind::peer_protocol, detail);
+}
+
+// Reads the fields of a verified buffer and notes the first invalid one.
+class field_reader
+{
+public:
+    template <class Id>
+    Id id(const flatbuffers::String* text, std::string_view field)
+    {
+        if (text->size() == 0)
+        {
+            fail(field);
+        }
+        return Id(text->str());
+    }
+
+    // -1 stands for an absent age.
+    std::optional<std::chrono::milliseconds> age(std::int64_t ms)
+    {
+        if (ms == -1)
+        {
+            return std::nullopt;
+        }
+        if (ms < 0)
+        {
+            fail("proof_age_ms");
+        }
+        return std::chrono::milliseconds(ms);
+    }
+
+    void fail(std::string_view field)
+    {
+        if (status_.ok())
+        {
+            status_ = protocol_error("invalid field " + std::string(field));
+        }
+    }
+
+    absl::StatusOr<message> result(message value) const
+    {
+        if (!status_.ok())
+        {
+            return status_;
+        }
+        return value;
+    }
+
+private:
+    absl::Status status_;
+};
+
+absl::StatusOr<message> read(const fb::Hello& m)
+{
+    field_reader fields;
+    hello value;
+    value.daemon = fields.id<base::daemon_id>(m.daemon(), "daemon");
+    value.incarnation = m.incarnation();
+    value.zone = fields.id<base::zone_id>(m.zone(), "zone");
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::Heartbeat& m)
+{
+    field_reader fields;
+    heartbeat value;
+    value.config_sequence = m.config_sequence();
+    value.proof_age = fields.age(m.proof_age_ms());
+    value.membership_version = m.membership_version();
+    value.owner_epoch = m.owner_epoch();
+    value.acting_owner = m.acting_owner();
+    value.load_permille = m.load_permille();
+    return fields.result(value);
+}
+
+absl::StatusOr<message> read(const fb::PromiseRequest& m)
+{
+    field_reader fields;
+    promise_request value;
+    value.zone = fields.id<base::zone_id>(m.zone(), "zone");
+    value.epoch = m.epoch();
+    value.owner_incarnation = m.owner_incarnation();
+    value.lease = std::chrono::milliseconds(m.lease_ms());
+    value.nonce = m.nonce();
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::PromiseAnswer& m)
+{
+    field_reader fields;
+    promise_answer value;
+    value.zone = fields.id<base::zone_id>(m.zone(), "zone");
+    value.epoch = m.epoch();
+    value.granted = m.granted();
+    value.nonce = m.nonce();
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::FreshnessQuery& m)
+{
+    return message(freshness_query{m.nonce()});
+}
+
+absl::StatusOr<message> read(const fb::FreshnessAnswer& m)
+{
+    field_reader fields;
+    freshness_answer value;
+    value.nonce = m.nonce();
+    value.config_sequence = m.config_sequence();
+    value.proof_age = fields.age(m.proof_age_ms());
+    value.acceptor = m.acceptor();
+    value.membership_version = m.membership_version();
+    value.in_doubt = m.in_doubt();
+    return fields.result(value);
+}
+
+absl::StatusOr<message> read(const fb::ConfigNotice& m)
+{
+    return message(config_notice{m.sequence()});
+}
+
+absl::StatusOr<message> read(const fb::JobNotice& m)
+{
+    field_reader fields;
+    job_notice value;
+    value.zone = fields.id<base::zone_id>(m.zone(), "zone");
+    value.job = fields.id<base::job_id>(m.job(), "job");
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::UsageReport& m, std::size_t size)
+{
+    field_reader fields;
+    usage_report value;
+    value.zone = fields.id<base::zone_id>(m.zone(), "zone");
+    value.epoch = m.epoch();
+    if (m.teams() == nullptr)
+    {
+        return fields.result(std::move(value));
+    }
+    // Offsets may share a table or a string, so that a small buffer could
+    // describe a very large list. In what encode writes each entry takes its
+    // text and at least this much more.
+    constexpr std::size_t min_entry_bytes = 16;
+    std::size_t described = 0;
+    for (const fb::TeamUsage* entry : *m.teams())
+    {
+        described += min_entry_bytes + entry->team()->size();
+        if (described > size)
+        {
+            return protocol_error("team entries overlap");
+        }
+        team_usage usage;
+        usage.team = fields.id<base::team_id>(entry->team(), "team");
+        usage.used = {entry->cpu_milli(), entry->memory_mb(),
+                      entry->accelerators()};
+        if (!usage.used.is_valid())
+        {
+            fields.fail("usage");
+        }
+        value.teams.push_back(std::move(usage));
+    }
+    return fields.result(std::move(value));
+}
+
+} // namespace
+
+absl::StatusOr<message> decode(std::string_view bytes)
+{
+    if (bytes.empty() || bytes.size() > max_frame_bytes)
+    {
+        return protocol_error("message size out of range");
+    }
+    // Scalars are read in place, which needs an aligned buffer.
+    std::vector<std::uint64_t> aligned((bytes.size() + 7) / 8);
+    std::memcpy(aligned.data(), bytes.data(), bytes.size());
+    const auto* data = reinterpret_cast<const std::uint8_t*>(aligned.data());
+    flatbuffers::Verifier verifier(data, bytes.size());
+    if (!fb::VerifyPeerBuffer(verifier))
+    {
+        return protocol_error("message does not verify");
+    }
+    const fb::Peer& peer = *fb::GetPeer(data);
+    switch (peer.body_type())
+    {
+    case fb::Body::Hello:
+        return read(*peer.body_as_Hello());
+    case fb::Body::Heartbeat:
+        return read(*peer.body_as_Heartbeat());
+    case fb::Body::PromiseRequest:
+        return read(*peer.body_as_PromiseRequest());
+    case fb::Body::PromiseAnswer:
+        return read(*peer.body_as_PromiseAnswer());
+    case fb::Body::FreshnessQuery:
+        return read(*peer.body_as_FreshnessQuery());
+    case fb::Body::FreshnessAnswer:
+        return read(*peer.body_as_FreshnessAnswer());
+    case fb::Body::ConfigNotice:
+        return read(*peer.body_as_ConfigNotice());
+    case fb::Body::JobNotice:
+        return read(*peer.body_as_JobNotice());
+    case fb::Body::UsageReport:
+        return read(*peer.body_as_UsageReport(), bytes.size());
+    default:
+        return protocol_error("unknown message type");
+    }
+}
+
+} // namespace coltsfootrack::wire
--- /dev/null
+++ b/src/wire/encode.cpp
@@ -0,0 +1,144 @@
+// Messages to FlatBuffers.
+
+#include <coltsfootrack/wire/codec.hpp>
+#include <coltsfootrack/wire/peer_generated.hpp>
+
+#include <algorithm>
+#include <cstdint>
+#include <limits>
+#include <variant>
+
+namespace coltsfootrack::wire
+{
+namespace
+{
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+// The body of a message inside the builder.
+struct encoded_body
+{
+    fb::Body type;
+    Offset<void> offset;
+};
+
+template <class Tag>
+Offset<flatbuffers::String> text(FlatBufferBuilder& builder,
+                                 const base::id<Tag>& id)
+{
+    return builder.CreateString(id.text());
+}
+
+std::int64_t age_ms(const std::optional<std::chrono::milliseconds>& age)
+{
+    return age ? std::max<std::int64_t>(age->count(), 0) : -1;
+}
+
+std::uint32_t lease_ms(std::chrono::milliseconds lease)
+{
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        lease.count(), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+// Writes the body of each kind of message.
+struct body_writer
+{
+    FlatBufferBuilder& builder;
+
+    encoded_body operator()(const hello& m) const
+    {
+        const auto daemon = text(builder, m.daemon);
+        const auto zone = text(builder, m.zone);
+        return {fb::Body::Hello,
+                fb::CreateHello(builder, daemon, m.incarnation, zone).Union()};
+    }
+
+    encoded_body operator()(const heartbeat& m) const
+    {
+        return {fb::Body::Heartbeat,
+                fb::CreateHeartbeat(builder, m.config_sequence,
+                                    age_ms(m.proof_age), m.membership_version,
+                                    m.owner_epoch, m.acting_owner,
+                                    m.load_permille)
+                    .Union()};
+    }
+
+    encoded_body operator()(const promise_request& m) const
+    {
+        const auto zone = text(builder, m.zone);
+        return {fb::Body::PromiseRequest,
+                fb::CreatePromiseRequest(builder, zone, m.epoch,
+                                         m.owner_incarnation, lease_ms(m.lease),
+                                         m.nonce)
+                    .Union()};
+    }
+
+    encoded_body operator()(const promise_answer& m) const
+    {
+        const auto zone = text(builder, m.zone);
+        return {
+            fb::Body::PromiseAnswer,
+            fb::CreatePromiseAnswer(builder, zone, m.epoch, m.granted, m.nonce)
+                .Union()};
+    }
+
+    encoded_body operator()(const freshness_query& m) const
+    {
+        return {fb::Body::FreshnessQuery,
+                fb::CreateFreshnessQuery(builder, m.nonce).Union()};
+    }
+
+    encoded_body operator()(const freshness_answer& m) const
+    {
+        return {fb::Body::FreshnessAnswer,
+                fb::CreateFreshnessAnswer(builder, m.nonce, m.config_sequence,
+                                          age_ms(m.proof_age), m.acceptor,
+                                          m.membership_version, m.in_doubt)
+                    .Union()};
+    }
+
+    encoded_body operator()(const config_notice& m) const
+    {
+        return {fb::Body::ConfigNotice,
+                fb::CreateConfigNotice(builder, m.sequence).Union()};
+    }
+
+    encoded_body operator()(const job_notice& m) const
+    {
+        const auto zone = text(builder, m.zone);
+        const auto job = text(builder, m.job);
+        return {fb::Body::JobNotice,
+                fb::CreateJobNotice(builder, zone, job).Union()};
+    }
+
+    encoded_body operator()(const usage_report& m) const
+    {
+        const auto zone = text(builder, m.zone);
+        std::vector<Offset<fb::TeamUsage>> teams;
+        teams.reserve(m.teams.size());
+        for (const team_usage& usage : m.teams)
+        {
+            const auto team = text(builder, usage.team);
+            teams.push_back(fb::CreateTeamUsage(
+                builder, team, usage.used.cpu_milli, usage.used.memory_mb,
+                usage.used.accelerators));
+        }
+        const auto list = builder.CreateVector(teams);
+        return {fb::Body::UsageReport,
+                fb::CreateUsageReport(builder, zone, m.epoch, list).Union()};
+    }
+};
+
+} // namespace
+
+std::string encode(const message& value)
+{
+    FlatBufferBuilder builder(256);
+    const encoded_body body = std::visit(body_writer{builder}, value);
+    builder.Finish(fb::CreatePeer(builder, body.type, body.offset));
+    return {reinterpret_cast<const char*>(builder.GetBufferPointer()),
+            builder.GetSize()};
+}
+
+} // namespace coltsfootrack::wire
--- /dev/null
+++ b/src/wire/outgoing_link.hpp
@@ -0,0 +1,111 @@
+#ifndef COLTSFOOTRACK_WIRE_OUTGOING_LINK_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_OUTGOING_LINK_HPP_INCLUDED
+
+#include "socket_handle.hpp"
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/wire/message_type.hpp>
+#include <coltsfootrack/wire/peer_address.hpp>
+#include <coltsfootrack/wire/peer_links_options.hpp>
+#include <coltsfootrack/wire/peer_traffic.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+namespace coltsfootrack::wire
+{
+
+// The connection on which this daemon sends to one peer, with its output
+// queue. It connects again after a jittered pause that doubles with each
+// failure.
+//
+// Thread safety: none; peer_links guards it with its mutex, and only the thread
+// of peer_links calls the functions that change the socket.
+class outgoing_link
+{
+public:
+    // The options must outlive the link.
+    outgoing_link(peer_address address, const peer_links_options& options,
+                  base::time_point now);
+
+    const peer_address& address() const
+    {
+        return address_;
+    }
+
+    // Whether messages can be queued.
+    bool is_open() const
+    {
+        return state_ == state::open;
+    }
+
+    // Adds a frame; false if the link is not open or the queue is full and
+    // holds no heartbeat to drop. The frame may be shared with other links.
+    bool enqueue(message_type type,
+                 const std::shared_ptr<const std::string>& frame,
+                 base::time_point now, peer_traffic& traffic);
+
+    // Starts a connection that is due and closes one that has timed out.
+    void maintain(base::time_point now, const base::random_source& random);
+
+    // When maintain must be called next.
+    base::time_point deadline() const;
+
+    // The descriptor to poll, or -1, and the events to wait for.
+    int descriptor() const
+    {
+        return socket_.descriptor();
+    }
+
+    short poll_events() const;
+
+    // Handles the events of poll. The hello frame goes first on a connection.
+    void handle(short events, base::time_point now,
+                const base::random_source& random,
+                const std::shared_ptr<const std::string>& hello_frame,
+                peer_traffic& traffic);
+
+    // Closes the connection and connects again after a pause.
+    void close(base::time_point now, const base::random_source& random);
+
+private:
+    enum class state
+    {
+        waiting,
+        connecting,
+        open
+    };
+
+    struct queued
+    {
+        message_type type;
+        std::shared_ptr<const std::string> frame;
+    };
+
+    bool drop_heartbeat(peer_traffic& traffic);
+    bool write_queue(base::time_point now, peer_traffic& traffic);
+
+    peer_address address_;
+    const peer_links_options* options_;
+    state state_ = state::waiting;
+    socket_handle socket_;
+    std::deque<queued> queue_;
+    std::size_t queued_bytes_ = 0;
+    // Bytes of the first queued frame that were sent already.
+    std::size_t written_ = 0;
+    std::uint32_t failures_ = 0;
+    // When to connect next, while waiting.
+    base::time_point next_connect_;
+    // When the connection was started or made.
+    base::time_point changed_;
+    // When the queue was last empty or bytes of it were sent.
+    base::time_point progress_;
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- /dev/null
+++ b/test/wire/generators.hpp
@@ -0,0 +1,91 @@
+#ifndef COLTSFOOTRACK_TEST_WIRE_GENERATORS_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_WIRE_GENERATORS_HPP_INCLUDED
+
+#include <coltsfootrack/wire/message.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <rapidcheck.h>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::wire
+{
+
+template <class Id>
+Id any_id()
+{
+    return Id(*rc::gen::nonEmpty(rc::gen::string<std::string>()));
+}
+
+inline std::uint64_t any_number()
+{
+    return *rc::gen::element<std::uint64_t>(
+        0, 1, *rc::gen::arbitrary<std::uint64_t>(),
+        std::numeric_limits<std::uint64_t>::max());
+}
+
+inline std::int64_t any_amount()
+{
+    return *rc::gen::element<std::int64_t>(
+        0, *rc::gen::nonNegative<std::int64_t>(),
+        std::numeric_limits<std::int64_t>::max());
+}
+
+inline std::optional<std::chrono::milliseconds> any_age()
+{
+    if (*rc::gen::arbitrary<bool>())
+    {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(any_amount());
+}
+
+// Any valid message; all types are equally likely.
+inline message any_message()
+{
+    const bool flag = *rc::gen::arbitrary<bool>();
+    switch (*rc::gen::inRange(0, 9))
+    {
+    case 0:
+        return hello{any_id<base::daemon_id>(), any_number(),
+                     any_id<base::zone_id>()};
+    case 1:
+        return heartbeat{any_number(), any_age(),
+                         any_number(), any_number(),
+                         flag,         *rc::gen::arbitrary<std::uint32_t>()};
+    case 2:
+        return promise_request{
+            any_id<base::zone_id>(), any_number(), any_number(),
+            std::chrono::milliseconds(*rc::gen::arbitrary<std::uint32_t>()),
+            any_number()};
+    case 3:
+        return promise_answer{any_id<base::zone_id>(), any_number(), flag,
+                              any_number()};
+    case 4:
+        return freshness_query{any_number()};
+    case 5:
+        return freshness_answer{any_number(), any_number(), any_age(),
+                                flag,         any_number(), !flag};
+    case 6:
+        return config_notice{any_number()};
+    case 7:
+        return job_notice{any_id<base::zone_id>(), any_id<base::job_id>()};
+    default:
+        break;
+    }
+    usage_report report{any_id<base::zone_id>(), any_number(), {}};
+    const int teams = *rc::gen::inRange(0, 20);
+    for (int i = 0; i < teams; ++i)
+    {
+        report.teams.push_back({any_id<base::team_id>(),
+                                {any_amount(), any_amount(), any_amount()}});
+    }
+    return report;
+}
+
+} // namespace coltsfootrack::wire
+
+#endif
