--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -38,3 +38,14 @@
     target_link_libraries(${name} PRIVATE coltsfootrack benchmark::benchmark)
     target_include_directories(${name} PRIVATE bench test)
 endforeach()
+
+# Clusters of real processes: the support library, the demonstration, and the
+# tests that start processes.
+add_library(coltsfootrack-system STATIC
+    test/system/child_process.cpp test/system/cluster.cpp
+    test/system/fleet_checks.cpp test/system/request_load.cpp
+    test/system/sample_ticket.cpp)
+target_include_directories(coltsfootrack-system PUBLIC test/system)
+target_link_libraries(coltsfootrack-system PUBLIC coltsfootrack)
+add_executable(demo test/system/demo.cpp)
+target_link_libraries(demo PRIVATE coltsfootrack-system)
--- /dev/null
+++ b/test/system/child_process.hpp
@@ -0,0 +1,57 @@
+#ifndef COLTSFOOTRACK_TEST_SYSTEM_CHILD_PROCESS_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_SYSTEM_CHILD_PROCESS_HPP_INCLUDED
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <vector>
+
+namespace coltsfootrack::system_test
+{
+
+// A program that a test started. It is killed when the object ends.
+//
+// Thread safety: none.
+class child_process
+{
+public:
+    // Starts the program; standard output goes to `<log>.out`, standard error
+    // to `<log>.err`. The program is killed if this process ends.
+    child_process(const std::vector<std::string>& command,
+                  const std::string& log);
+
+    ~child_process();
+    child_process(const child_process&) = delete;
+    child_process& operator=(const child_process&) = delete;
+
+    void send_signal(int signal) const;
+
+    // Waits for the end; the exit status, 128 + signal if it was killed, or
+    // nothing if it has not ended within the limit.
+    std::optional<int> wait(std::chrono::milliseconds limit);
+
+    // Kills the program and waits for its end.
+    void kill();
+
+    bool running() const
+    {
+        return pid_ > 0;
+    }
+
+    pid_t pid() const
+    {
+        return pid_;
+    }
+
+    // What the program has printed to standard output.
+    std::string output() const;
+
+private:
+    std::string log_;
+    pid_t pid_ = -1;
+};
+
+} // namespace coltsfootrack::system_test
+
+#endif
--- /dev/null
+++ b/test/system/cluster_options.hpp
@@ -0,0 +1,38 @@
+#ifndef COLTSFOOTRACK_TEST_SYSTEM_CLUSTER_OPTIONS_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_SYSTEM_CLUSTER_OPTIONS_HPP_INCLUDED
+
+#include <coltsfootrack/base/resources.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coltsfootrack::system_test
+{
+
+// The shape of a cluster of real processes on loopback.
+struct cluster_options
+{
+    // Each zone with its region.
+    std::vector<std::pair<std::string, std::string>> zones = {
+        {"a1", "north"}, {"a2", "north"}, {"b1", "south"}};
+    int daemons_per_zone = 1;
+    int workers_per_zone = 6;
+    base::resources worker_size = {32000, 131072, 0};
+    // Further workers of each zone, with accelerators.
+    int accelerator_workers_per_zone = 2;
+    base::resources accelerator_worker_size = {32000, 65536, 8};
+    // Runners of each zone for each of these services, with 8 slots each.
+    std::vector<std::string> services = {"stream"};
+    int runners_per_zone = 4;
+    // Whether relays stand between all parts, so that links can be cut.
+    bool relays = false;
+    // Folder for settings and logs; made if it is missing.
+    std::string folder = "cluster";
+    // Folder of the programs.
+    std::string programs = ".";
+};
+
+} // namespace coltsfootrack::system_test
+
+#endif
