Add the decisions of the commit stream

Cause: a lost answer may belong to a commit that took effect, now or later, and callers act on "committed" and "not applied". Ruled out: mutations in the registration commit (a lost answer to it could not be resolved when another incarnation registers); batching mutations that require a row which an earlier one writes (both compare-and-set mutations would apply); letting a series of conflicts delay the renewal. Change: mutation_queue forms batches that equal their mutations one after the other; commit_stream reads the session row back after a lost answer, writes the barrier under the old version, and tells from the token that the row keeps whether its last commit applied before the session was fenced. A row of a new incarnation names the token that it replaced.

--- a/include/coltsfootrack/store/commit_outcome.hpp
+++ b/include/coltsfootrack/store/commit_outcome.hpp
@@ -21,12 +21,15 @@
         conflict,
         // It did not apply and never will, for another reason.
         unavailable,
-        // It may have applied. One of the other results follows.
+        // It may have applied. One of the other results follows, unless the
+        // client is stopped or the session row that would tell has been
+        // replaced more than once.
         unknown
     };
 
     commit_outcome::result result = result::unknown;
-    // For committed: the version of all rows that the mutation wrote.
+    // For committed: the version of all rows that the mutation wrote; 0 if it
+    // is not known because the session was taken away after the commit.
     store::version version = 0;
     // For conflict: the keys of the conditions that did not hold.
     std::vector<std::string> conflicts;
--- /dev/null
+++ b/src/store/commit_stream.cpp
@@ -0,0 +1,530 @@
+// The decisions of the commit stream; see section 3.2 of the design.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/hex_token.hpp>
+#include <coltsfootrack/store/commit_stream.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <algorithm>
+#include <limits>
+
+namespace coltsfootrack::store
+{
+namespace
+{
+
+using base::error_kind;
+using outcome_kind = decltype(commit_outcome::result);
+
+constexpr std::size_t no_limit = std::numeric_limits<std::size_t>::max();
+
+commit_outcome unavailable(error_kind reason)
+{
+    return {outcome_kind::unavailable, 0, {}, reason};
+}
+
+commit_outcome unknown()
+{
+    return {outcome_kind::unknown, 0, {}, error_kind::outcome_unknown};
+}
+
+commit_outcome committed(version sequence)
+{
+    return {outcome_kind::committed, sequence, {}, error_kind::internal};
+}
+
+// The keys of the mutation's conditions that are among the failed ones.
+std::vector<std::string> conflicts_of(const mutation& change,
+                                      const std::vector<std::string>& failed)
+{
+    std::vector<std::string> keys;
+    for (const condition& each : change.conditions)
+    {
+        if (std::find(failed.begin(), failed.end(), each.key) != failed.end())
+        {
+            keys.push_back(each.key);
+        }
+    }
+    return keys;
+}
+
+} // namespace
+
+commit_stream::commit_stream(const table_options& options,
+                             base::random_source random)
+    : options_(options)
+    , random_(std::move(random))
+    , queue_(options)
+    , retry_at_(base::time_point::min())
+    , renew_at_(base::time_point::min())
+{
+}
+
+absl::Status commit_stream::submit(std::uint64_t id, mutation change,
+                                   base::time_point now)
+{
+    if (fenced())
+    {
+        return base::make_error(error_kind::fenced,
+                                "the session was taken away");
+    }
+    return queue_.push(
+        {id, std::move(change), now + options_.mutation_timeout, false, 0});
+}
+
+stream_call commit_stream::next(base::time_point now)
+{
+    expire(now);
+    if (!fenced() && now >= retry_at_)
+    {
+        switch (phase_)
+        {
+        case phase::first_read:
+        case phase::doubt:
+            return {stream_call::action::read_session, {}, {}};
+        case phase::barrier:
+            return send_barrier(now);
+        case phase::ready:
+            if ((registered_ && !queue_.empty()) || now >= renew_at_)
+            {
+                return send_batch(now);
+            }
+            break;
+        case phase::fenced:
+            break;
+        }
+    }
+    return {stream_call::action::wait, wake_time(), {}};
+}
+
+stream_call commit_stream::send_batch(base::time_point now)
+{
+    attempt sent;
+    sent.start = now;
+    // The registration carries no mutations, so that nothing is in doubt when
+    // its answer is lost. After a conflict a renewal that is due goes alone,
+    // because a series of conflicts would let the lease expire.
+    if (registered_ && !(last_conflicted_ && now >= renew_at_))
+    {
+        sent.batch = queue_.take_batch(singly_ > 0 ? 1 : no_limit);
+        singly_ -= std::min<std::size_t>(singly_, 1);
+    }
+    last_conflicted_ = false;
+    sent_ = std::move(sent);
+    barrier_in_flight_ = false;
+    return commit_call(*sent_);
+}
+
+stream_call commit_stream::send_barrier(base::time_point now)
+{
+    // A repeated barrier keeps its token and its first start: under one version
+    // only one of them can apply, and the lease is counted from the earliest.
+    if (!barrier_)
+    {
+        barrier_ = attempt{{}, now, {}};
+    }
+    barrier_in_flight_ = true;
+    return commit_call(*barrier_);
+}
+
+stream_call commit_stream::commit_call(attempt& sent)
+{
+    if (sent.token.empty())
+    {
+        sent.token = base::hex_token(random_);
+        ++counter_;
+    }
+    session_row session;
+    session.incarnation = options_.session.incarnation;
+    session.zone = options_.session.zone.text();
+    session.address = options_.session.address;
+    session.counter = counter_;
+    session.token = sent.token;
+    session.predecessor = predecessor_;
+
+    stream_call call;
+    call.action = stream_call::action::commit;
+    const std::string key = options_.session.key();
+    call.content.require(key, session_version_).put(key, session.to_json());
+    absl::flat_hash_map<std::string, version> required;
+    for (const mutation_queue::entry& each : sent.batch)
+    {
+        for (const condition& needed : each.change.conditions)
+        {
+            if (required.emplace(needed.key, needed.version).second)
+            {
+                call.content.conditions.push_back(needed);
+            }
+        }
+        call.content.writes.insert(call.content.writes.end(),
+                                   each.change.writes.begin(),
+                                   each.change.writes.end());
+    }
+    return call;
+}
+
+void commit_stream::commit_answered(const commit_answer& answer,
+                                    base::time_point now)
+{
+    switch (answer.result)
+    {
+    case commit_answer::result::committed:
+        applied(barrier_in_flight_ ? *barrier_ : *sent_, answer.sequence);
+        break;
+    case commit_answer::result::conflict:
+        on_conflict(answer, now);
+        break;
+    case commit_answer::result::refused:
+        on_refused(now);
+        break;
+    case commit_answer::result::not_sent:
+        back_off(now);
+        if (!barrier_in_flight_)
+        {
+            not_applied(std::move(sent_->batch));
+            sent_.reset();
+        }
+        break;
+    case commit_answer::result::lost:
+        on_lost(now);
+        break;
+    }
+}
+
+// Takes over the row that the attempt wrote. The other attempts were made under
+// the former version, so they never apply.
+void commit_stream::applied(const attempt& done, version sequence)
+{
+    renewal_ = done.start;
+    renew_at_ = done.start + options_.renewal_interval;
+    session_version_ = sequence;
+    session_token_ = done.token;
+    registered_ = true;
+    failures_ = 0;
+    const bool batch_applied = sent_ && sent_->token == done.token;
+    if (batch_applied)
+    {
+        report_all(sent_->batch, committed(sequence));
+    }
+    else if (sent_)
+    {
+        not_applied(std::move(sent_->batch));
+    }
+    sent_.reset();
+    barrier_.reset();
+    phase_ = phase::ready;
+}
+
+// Queues mutations that certainly did not apply again. Those that were already
+// reported as unknown are not tried again: their callers have given up.
+void commit_stream::not_applied(std::vector<mutation_queue::entry> batch)
+{
+    std::vector<mutation_queue::entry> again;
+    for (mutation_queue::entry& each : batch)
+    {
+        if (each.unknown_reported)
+        {
+            report(each, unavailable(error_kind::store_unavailable));
+        }
+        else
+        {
+            again.push_back(std::move(each));
+        }
+    }
+    queue_.put_back(std::move(again));
+}
+
+void commit_stream::on_conflict(const commit_answer& answer,
+                                base::time_point now)
+{
+    const std::string session = options_.session.key();
+    const bool session_failed =
+        std::find(answer.failed.begin(), answer.failed.end(), session) !=
+        answer.failed.end();
+    if (barrier_in_flight_)
+    {
+        // The lost commit or an earlier copy of the barrier applied, or the
+        // session was taken away.
+        phase_ = phase::doubt;
+        if (!session_failed)
+        {
+            back_off(now);
+        }
+        return;
+    }
+    std::vector<mutation_queue::entry> others;
+    for (mutation_queue::entry& each : sent_->batch)
+    {
+        std::vector<std::string> keys =
+            conflicts_of(each.change, answer.failed);
+        if (keys.empty() || session_failed)
+        {
+            others.push_back(std::move(each));
+        }
+        else
+        {
+            report(each, {outcome_kind::conflict, 0, std::move(keys),
+                          error_kind::store_conflict});
+        }
+    }
+    const bool explained =
+        session_failed || others.size() < sent_->batch.size();
+    sent_.reset();
+    queue_.put_back(std::move(others));
+    last_conflicted_ = true;
+    if (session_failed)
+    {
+        phase_ = registered_ ? phase::doubt : phase::first_read;
+    }
+    if (!explained || !registered_)
+    {
+        back_off(now);
+    }
+}
+
+// One of several mutations was refused: finds it by sending them one by one.
+void commit_stream::on_refused(base::time_point now)
+{
+    if (barrier_in_flight_ || sent_->batch.empty())
+    {
+        back_off(now);
+        if (!barrier_in_flight_)
+        {
+            sent_.reset();
+        }
+        return;
+    }
+    if (sent_->batch.size() == 1)
+    {
+        report(sent_->batch.front(), unavailable(error_kind::invalid_request));
+    }
+    else
+    {
+        singly_ = sent_->batch.size();
+        queue_.put_back(std::move(sent_->batch));
+    }
+    sent_.reset();
+}
+
+void commit_stream::on_lost(base::time_point now)
+{
+    phase_ = phase::doubt;
+    back_off(now);
+}
+
+void commit_stream::session_read(
+    const absl::StatusOr<std::optional<row>>& answer, base::time_point now)
+{
+    if (!answer.ok())
+    {
+        back_off(now);
+        return;
+    }
+    if (phase_ == phase::first_read)
+    {
+        adopt_former_row(*answer);
+        return;
+    }
+    resolve(*answer, now);
+}
+
+// Starts the registration: the row of the former incarnation is replaced.
+void commit_stream::adopt_former_row(const std::optional<row>& found)
+{
+    sent_.reset();
+    barrier_.reset();
+    session_version_ = found ? found->version : 0;
+    session_token_.clear();
+    if (found)
+    {
+        const auto former = session_row::from_json(found->value);
+        if (former.ok() && former->incarnation == options_.session.incarnation)
+        {
+            lose_session(*former);
+            return;
+        }
+        session_token_ = former.ok() ? former->token : std::string();
+    }
+    predecessor_ = session_token_;
+    phase_ = phase::ready;
+}
+
+void commit_stream::resolve(const std::optional<row>& found,
+                            base::time_point now)
+{
+    const version actual = found ? found->version : 0;
+    std::optional<session_row> session;
+    if (found)
+    {
+        const auto parsed = session_row::from_json(found->value);
+        if (parsed.ok())
+        {
+            session = *parsed;
+        }
+    }
+    if (actual == session_version_)
+    {
+        phase_ = sent_ ? phase::barrier : phase::ready;
+        if (!sent_)
+        {
+            back_off(now);
+        }
+        return;
+    }
+    if (session && !session->fenced)
+    {
+        for (const auto* done : {&sent_, &barrier_})
+        {
+            if (*done && (*done)->token == session->token)
+            {
+                applied(attempt(**done), actual);
+                return;
+            }
+        }
+    }
+    const bool own =
+        session && session->incarnation == options_.session.incarnation;
+    if (!registered_ && !own)
+    {
+        adopt_former_row(found);
+        return;
+    }
+    lose_session(session);
+}
+
+// The session was taken away. Whoever did so kept the token of the row that was
+// replaced, so the last commit in doubt can still be told apart.
+void commit_stream::lose_session(const std::optional<session_row>& found)
+{
+    if (sent_)
+    {
+        std::string last;
+        if (found)
+        {
+            last = found->incarnation == options_.session.incarnation
+                       ? found->token
+                       : found->predecessor;
+        }
+        const bool barrier_applied = barrier_ && last == barrier_->token;
+        if (last == sent_->token)
+        {
+            // The version of the rows cannot be read any more.
+            report_all(sent_->batch, committed(0));
+        }
+        else if (!last.empty() && (last == session_token_ || barrier_applied))
+        {
+            report_all(sent_->batch, unavailable(error_kind::fenced));
+        }
+        else
+        {
+            report_all(sent_->batch, unknown());
+        }
+    }
+    sent_.reset();
+    barrier_.reset();
+    phase_ = phase::fenced;
+    report_all(queue_.take_all(), unavailable(error_kind::fenced));
+}
+
+void commit_stream::expire(base::time_point now)
+{
+    report_all(queue_.take_expired(now),
+               unavailable(error_kind::store_unavailable));
+    if (!sent_)
+    {
+        return;
+    }
+    for (mutation_queue::entry& each : sent_->batch)
+    {
+        if (each.deadline <= now && !each.unknown_reported)
+        {
+            report(each, unknown());
+            each.unknown_reported = true;
+        }
+    }
+}
+
+base::time_point commit_stream::wake_time() const
+{
+    if (fenced())
+    {
+        return base::time_point::max();
+    }
+    base::time_point wake =
+        std::min(queue_.next_deadline(), std::max(retry_at_, renew_at_));
+    if (phase_ != phase::ready || !queue_.empty())
+    {
+        wake = std::min(wake, retry_at_);
+    }
+    return wake;
+}
+
+void commit_stream::abandon()
+{
+    if (sent_)
+    {
+        for (mutation_queue::entry& each : sent_->batch)
+        {
+            if (!each.unknown_reported)
+            {
+                report(each, unknown());
+                each.unknown_reported = true;
+            }
+        }
+    }
+    report_all(queue_.take_all(), unavailable(error_kind::draining));
+}
+
+std::vector<commit_report> commit_stream::take_reports()
+{
+    std::vector<commit_report> taken;
+    taken.swap(reports_);
+    return taken;
+}
+
+std::optional<base::time_point> commit_stream::take_renewal()
+{
+    const std::optional<base::time_point> taken = renewal_;
+    renewal_.reset();
+    return taken;
+}
+
+bool commit_stream::idle() const
+{
+    return queue_.empty() && (!sent_ || sent_->batch.empty());
+}
+
+void commit_stream::report(const mutation_queue::entry& entry,
+                           commit_outcome outcome)
+{
+    if (outcome.final() || !entry.unknown_reported)
+    {
+        reports_.push_back({entry.id, std::move(outcome)});
+    }
+}
+
+void commit_stream::report_all(
+    const std::vector<mutation_queue::entry>& entries,
+    const commit_outcome& outcome)
+{
+    for (const mutation_queue::entry& each : entries)
+    {
+        report(each, outcome);
+    }
+}
+
+void commit_stream::back_off(base::time_point now)
+{
+    const std::uint32_t doublings = std::min<std::uint32_t>(failures_, 16);
+    ++failures_;
+    const auto longest =
+        std::min(options_.retry_last, options_.retry_first * (1U << doublings));
+    // Half of the waiting time is random, so that daemons do not retry in step.
+    const auto half = std::max<std::int64_t>(longest.count() / 2, 1);
+    retry_at_ =
+        now + std::chrono::milliseconds(
+                  half + static_cast<std::int64_t>(
+                             random_() % static_cast<std::uint64_t>(half)));
+}
+
+} // namespace coltsfootrack::store
