Test event histories that random worlds reach rarely

Cause: some rules matter only in rare orders of events: a read that arrives late, a restart with a takeover commit on its way, a list with gaps, a membership change by an outsider. Ruled out: more random worlds alone; 600 worlds did not notice when a restarted daemon promised too early. Time bounds are tested in worlds without lost or long delayed messages, where they are exact.

--- a/test/coordination/model_checks.cpp
+++ b/test/coordination/model_checks.cpp
@@ -36,21 +36,21 @@
     }
     for (const auto& [zone, id] : acting)
     {
-        zone_figures& figures = figures_[zone];
-        if (figures.first < base::duration::zero())
+        zone_figures& entry = figures[zone];
+        if (entry.first < base::duration::zero())
         {
-            figures.first = now_;
+            entry.first = now_;
         }
         else
         {
-            figures.longest_gap =
-                std::max(figures.longest_gap, now_ - figures.last_acting);
+            entry.longest_gap =
+                std::max(entry.longest_gap, now_ - entry.last_acting);
         }
-        figures.last_acting = now_;
-        if (figures.last_owner != id)
+        entry.last_acting = now_;
+        if (entry.last_owner != id)
         {
-            ++figures.owners;
-            figures.last_owner = id;
+            ++entry.owners;
+            entry.last_owner = id;
         }
     }
 }
@@ -65,7 +65,7 @@
             used += machine.process->usable();
         }
     }
-    const base::resources bound = component_max(table_.limit, allowed_);
+    const base::resources bound = component_max(table.limit, allowed_);
     if (!used.fits_in(bound))
     {
         fail(fmt::format("usable slices {} above the limit {}", to_string(used),
@@ -76,7 +76,7 @@
 void model_world::check_freshness()
 {
     std::uint64_t required = 0;
-    for (const auto& [at, sequence] : accepted_)
+    for (const auto& [at, sequence] : accepted)
     {
         if (now_ - at > std::chrono::seconds(8))
         {
@@ -85,22 +85,24 @@
     }
     for (const auto& [id, machine] : vms_)
     {
-        if (machine.process && machine.process->is_current() &&
-            machine.process->sequence() < required)
+        if (machine.process &&
+            machine.process->freshness.is_current(machine.process->now()) &&
+            machine.process->freshness.sequence() < required)
         {
             fail(fmt::format("{} is current at sequence {} without {}",
-                             id.text(), machine.process->sequence(), required));
+                             id.text(), machine.process->freshness.sequence(),
+                             required));
         }
     }
 }
 
 void model_world::check_table()
 {
-    if (table_.head != (accepted_.empty() ? 0 : accepted_.back().second))
+    if (table.head != (accepted.empty() ? 0 : accepted.back().second))
     {
-        accepted_.emplace_back(now_, table_.head);
+        accepted.emplace_back(now_, table.head);
     }
-    for (const auto& [zone, row] : table_.owners)
+    for (const auto& [zone, row] : table.owners)
     {
         owner_row& before = checked_owners_[zone];
         const bool same =
@@ -112,21 +114,21 @@
             fail(fmt::format("zone {}: epoch {} after {}", zone.text(),
                              row.epoch, before.epoch));
         }
-        figures_[zone].epochs = static_cast<int>(row.epoch);
+        figures[zone].epochs = static_cast<int>(row.epoch);
         before = row;
     }
     // Slices above the limit are allowed only as far as they were granted
     // before the limit was lowered, and they only shrink.
-    const base::resources total = table_.quota.total();
-    if (checked_limit_ != table_.limit_version)
+    const base::resources total = table.quota.total();
+    if (checked_limit_ != table.limit_version)
     {
-        checked_limit_ = table_.limit_version;
+        checked_limit_ = table.limit_version;
         allowed_ = total;
     }
-    if (!total.fits_in(component_max(table_.limit, allowed_)))
+    if (!total.fits_in(component_max(table.limit, allowed_)))
     {
         fail(fmt::format("slices {} above the limit {}", to_string(total),
-                         to_string(table_.limit)));
+                         to_string(table.limit)));
     }
     allowed_ = component_min(allowed_, total);
 }
--- a/test/coordination/model_table.hpp
+++ b/test/coordination/model_table.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_TEST_COORDINATION_MODEL_TABLE_HPP_INCLUDED
 #define COLTSFOOTRACK_TEST_COORDINATION_MODEL_TABLE_HPP_INCLUDED
 
+#include <coltsfootrack/coordination/listed_daemon.hpp>
 #include <coltsfootrack/coordination/membership_row.hpp>
 #include <coltsfootrack/coordination/observed_session.hpp>
 #include <coltsfootrack/coordination/owner_row.hpp>
@@ -8,6 +9,7 @@
 
 #include <cstdint>
 #include <map>
+#include <vector>
 
 namespace coltsfootrack::coordination
 {
@@ -26,6 +28,8 @@
     base::resources limit;
     std::uint64_t limit_version = 0;
     quota_row quota;
+    // The VM list; not a row, but read together with the table.
+    std::vector<listed_daemon> listed;
 
     std::uint64_t session_version(const base::daemon_id& daemon) const
     {
--- a/test/coordination/model_test.cpp
+++ b/test/coordination/model_test.cpp
@@ -40,7 +40,7 @@
     CPPUNIT_TEST_SUITE(model_test);
     CPPUNIT_TEST(world_random_faults_keeps_invariants);
     CPPUNIT_TEST(world_without_faults_has_owners_tickets_and_quota);
-    CPPUNIT_TEST(owner_killed_successor_acts_within_ten_seconds);
+    CPPUNIT_TEST(owner_killed_successor_acts_within_nine_seconds);
     CPPUNIT_TEST(owner_shut_down_successor_acts_without_lease_wait);
     CPPUNIT_TEST(store_outage_owner_keeps_acting_by_promises);
     CPPUNIT_TEST(all_vms_replaced_zone_recovers_by_list);
@@ -74,29 +74,29 @@
     {
         model_world world(1);
         CPPUNIT_ASSERT_EQUAL(std::string(), world.run({}, seconds(120)));
-        for (const auto& [zone, figures] : world.figures())
+        for (const auto& [zone, figures] : world.figures)
         {
             report("no faults", zone, figures);
             CPPUNIT_ASSERT_EQUAL(1, figures.owners);
             CPPUNIT_ASSERT(figures.first < seconds(10));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.figures().size());
-        CPPUNIT_ASSERT(world.tickets_accepted() > 5);
-        CPPUNIT_ASSERT(world.granted() != base::resources{});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.figures.size());
+        CPPUNIT_ASSERT(world.accepted.size() > 5);
+        CPPUNIT_ASSERT(world.table.quota.total() != base::resources{});
     }
 
     // Guards against a zone that waits longer than the page allows.
-    void owner_killed_successor_acts_within_ten_seconds()
+    void owner_killed_successor_acts_within_nine_seconds()
     {
         after_fault("owner killed", model_fault::kill_process, 60000,
-                    seconds(11));
+                    seconds(9));
     }
 
     // Guards against a planned hand-over that waits for the lease.
     void owner_shut_down_successor_acts_without_lease_wait()
     {
         after_fault("owner shut down", model_fault::planned_shutdown, 60000,
-                    seconds(5));
+                    milliseconds(2500));
     }
 
     // Guards against an owner that stops although all candidates promise.
@@ -109,7 +109,7 @@
                 std::string(),
                 world.run({{model_fault::store_outage, 40000, 0, 60000}},
                           seconds(99)));
-            for (const auto& [zone, figures] : world.figures())
+            for (const auto& [zone, figures] : world.figures)
             {
                 report("store outage of 60 s", zone, figures);
                 CPPUNIT_ASSERT_EQUAL(1, figures.owners);
@@ -130,7 +130,7 @@
                 3, {model_fault::remove_vm, 40000, 0, 1000});
             CPPUNIT_ASSERT_EQUAL(std::string(),
                                  world.run(faults, seconds(100)));
-            const auto& figures = world.figures().at(base::zone_id("a"));
+            const auto& figures = world.figures.at(base::zone_id("a"));
             report("all VMs replaced", base::zone_id("a"), figures);
             CPPUNIT_ASSERT(figures.epochs >= 2);
             CPPUNIT_ASSERT(figures.last_acting > seconds(99));
@@ -151,7 +151,7 @@
                 faults[static_cast<std::size_t>(i)].target = i;
             }
             CPPUNIT_ASSERT_EQUAL(std::string(), world.run(faults, seconds(60)));
-            for (const auto& [zone, figures] : world.figures())
+            for (const auto& [zone, figures] : world.figures)
             {
                 report("all processes restarted", zone, figures);
                 CPPUNIT_ASSERT(figures.last_acting > seconds(59));
@@ -168,15 +168,15 @@
         {
             // A first run finds the owner; the seed makes the second the same
             // up to the fault.
-            model_world probe(seed);
+            model_world probe(seed, true);
             CPPUNIT_ASSERT_EQUAL(std::string(), probe.run({}, seconds(39)));
             const base::zone_id zone("a");
-            const int owner = probe.index_of(probe.owner_of(zone));
-            model_world world(seed);
+            const int owner = probe.owner_index(zone);
+            model_world world(seed, true);
             CPPUNIT_ASSERT_EQUAL(
                 std::string(),
                 world.run({{kind, 40000, owner, length_ms}}, seconds(70)));
-            const auto& figures = world.figures().at(zone);
+            const auto& figures = world.figures.at(zone);
             report(name, zone, figures);
             CPPUNIT_ASSERT_EQUAL(2, figures.owners);
             CPPUNIT_ASSERT(figures.longest_gap < bound);
--- a/test/coordination/model_world.cpp
+++ b/test/coordination/model_world.cpp
@@ -13,10 +13,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-model_world::model_world(std::uint64_t seed)
+model_world::model_world(std::uint64_t seed, bool calm)
     : source_(base::seeded_random(seed))
+    , calm_(calm)
 {
-    table_.limit = {100, 100, 0};
+    table.limit = {100, 100, 0};
     for (int i = 0; i < 3; ++i)
     {
         add_vm(base::zone_id("a"));
@@ -45,15 +46,15 @@
 
 void model_world::call_store(const model_daemon& from,
                              std::function<void(model_table&)> request,
-                             std::function<void(model_daemon&)> answer)
+                             std::function<void()> answer)
 {
     const bool slow = now_ < store_slow_until_;
-    const base::daemon_id& id = from.id();
+    const base::daemon_id& id = from.id;
     const auto cut = [this, id = base::daemon_id(id)]
     {
         const vm& machine = vms_.at(id);
         return now_ < store_down_until_ || now_ < machine.store_cut_until ||
-               now_ < zone_cut_until_[machine.zone] || random(100) == 0;
+               now_ < zone_cut_until_[machine.zone] || lost();
     };
     if (cut())
     {
@@ -61,9 +62,10 @@
     }
     schedule(delay(slow),
              [this, slow, id, cut, request = std::move(request),
-              answer = std::move(answer), incarnation = from.incarnation()]
+              answer = std::move(answer), incarnation = from.incarnation]
              {
-                 request(table_);
+                 update_list();
+                 request(table);
                  check_table();
                  if (cut())
                  {
@@ -76,9 +78,9 @@
                               deliver(id,
                                       [answer, incarnation](model_daemon& d)
                                       {
-                                          if (d.incarnation() == incarnation)
+                                          if (d.incarnation == incarnation)
                                           {
-                                              answer(d);
+                                              answer();
                                           }
                                       });
                           });
@@ -93,13 +95,13 @@
     {
         return;
     }
-    const vm& source = vms_.at(from.id());
+    const vm& source = vms_.at(from.id);
     const bool other_zone = source.zone != target->second.zone;
     if (now_ < source.peers_cut_until ||
         now_ < target->second.peers_cut_until ||
         (other_zone && (now_ < zone_cut_until_[source.zone] ||
                         now_ < zone_cut_until_[target->second.zone])) ||
-        random(100) == 0)
+        lost())
     {
         return;
     }
@@ -131,59 +133,38 @@
     return ids;
 }
 
-std::vector<listed_daemon> model_world::listed() const
+void model_world::update_list()
 {
-    std::vector<listed_daemon> list;
+    table.listed.clear();
     for (const auto& [id, machine] : vms_)
     {
         if (machine.listed_from <= now_ && now_ < machine.listed_until)
         {
-            list.push_back({id, machine.zone, false});
+            table.listed.push_back({id, machine.zone, false});
         }
     }
-    return list;
 }
 
 void model_world::process_fenced(const model_daemon& process)
 {
     // The daemon ends and its supervisor starts it again.
     schedule({},
-             [this, id = process.id(), mark = process.incarnation()]
+             [this, id = process.id, mark = process.incarnation]
              {
                  const vm& machine = vms_.at(id);
-                 if (machine.process && machine.process->incarnation() == mark)
+                 if (machine.process && machine.process->incarnation == mark)
                  {
                      kill(id, milliseconds(200));
                  }
              });
 }
 
-const std::map<base::zone_id, model_world::zone_figures>&
-model_world::figures() const
-{
-    return figures_;
-}
-
-int model_world::tickets_accepted() const
-{
-    return static_cast<int>(accepted_.size());
-}
-
-base::resources model_world::granted() const
-{
-    return table_.quota.total();
-}
-
-const base::daemon_id& model_world::owner_of(const base::zone_id& zone) const
-{
-    return table_.owners.at(zone).daemon;
-}
-
-int model_world::index_of(const base::daemon_id& daemon) const
+int model_world::owner_index(const base::zone_id& zone) const
 {
     const std::vector<base::daemon_id> ids = daemon_ids();
-    return static_cast<int>(std::find(ids.begin(), ids.end(), daemon) -
-                            ids.begin());
+    const auto found =
+        std::find(ids.begin(), ids.end(), table.owners.at(zone).daemon);
+    return static_cast<int>(found - ids.begin());
 }
 
 void model_world::schedule(base::duration after, std::function<void()> run)
@@ -212,7 +193,13 @@
     {
         return milliseconds(random(8000));
     }
-    return milliseconds(random(20) == 0 ? random(3000) : 1 + random(20));
+    return milliseconds(!calm_ && random(20) == 0 ? random(3000)
+                                                  : 1 + random(20));
+}
+
+bool model_world::lost()
+{
+    return !calm_ && random(100) == 0;
 }
 
 void model_world::add_vm(const base::zone_id& zone)
@@ -294,7 +281,7 @@
         zone_cut_until_[machine.zone] = now_ + length;
         break;
     case model_fault::planned_shutdown:
-        deliver(id, [](model_daemon& d) { d.shut_down(); });
+        deliver(id, [](model_daemon& d) { d.zone.begin_shutdown(); });
         schedule(seconds(4), [this, id, length] { kill(id, length); });
         break;
     default:
--- a/test/coordination/model_world.hpp
+++ b/test/coordination/model_world.hpp
@@ -27,7 +27,8 @@
 class model_world
 {
 public:
-    explicit model_world(std::uint64_t seed);
+    // A calm world has no lost and no long delayed messages, for time bounds.
+    explicit model_world(std::uint64_t seed, bool calm = false);
 
     // Runs the faults until the given time and returns the first violation, or
     // an empty text.
@@ -38,13 +39,12 @@
     // delayed or lost; a lost answer may belong to a call that took effect.
     void call_store(const model_daemon& from,
                     std::function<void(model_table&)> request,
-                    std::function<void(model_daemon&)> answer);
+                    std::function<void()> answer);
     void send(const model_daemon& from, const base::daemon_id& to,
               std::function<void(model_daemon&)> message);
     base::time_point local_time(const base::daemon_id& daemon) const;
     std::uint64_t random(std::uint64_t below);
     std::vector<base::daemon_id> daemon_ids() const;
-    std::vector<listed_daemon> listed() const;
     void process_fenced(const model_daemon& process);
 
     // The real time since each zone first had an acting owner, how often its
@@ -58,13 +58,14 @@
         base::duration last_acting{0};
         base::daemon_id last_owner;
     };
-    const std::map<base::zone_id, zone_figures>& figures() const;
-    int tickets_accepted() const;
-    base::resources granted() const;
-    const base::daemon_id& owner_of(const base::zone_id& zone) const;
 
-    // The daemon with this position in the order of ids.
-    int index_of(const base::daemon_id& daemon) const;
+    // The position of a zone's owner in the order of ids.
+    int owner_index(const base::zone_id& zone) const;
+
+    model_table table;
+    // Each accepted ticket: real time and sequence.
+    std::vector<std::pair<base::duration, std::uint64_t>> accepted;
+    std::map<base::zone_id, zone_figures> figures;
 
 private:
     struct vm
@@ -102,6 +103,7 @@
     void kill(const base::daemon_id& id, base::duration restart_after);
     void tick(const base::daemon_id& id);
     void inject(const model_fault& fault);
+    void update_list();
     void submit_tickets();
     void check();
     void check_owners();
@@ -110,11 +112,13 @@
     void check_table();
     void fail(const std::string& text);
 
+    bool lost();
+
     base::random_source source_;
+    bool calm_;
     base::duration now_{0};
     std::uint64_t events_ = 0;
     std::priority_queue<event> queue_;
-    model_table table_;
     std::map<base::daemon_id, vm> vms_;
     int vm_count_ = 0;
     std::uint64_t process_count_ = 0;
@@ -122,9 +126,6 @@
     base::duration store_slow_until_{0};
     std::map<base::zone_id, base::duration> zone_cut_until_;
     std::uint64_t tickets_ = 0;
-    // Each accepted ticket: real time and sequence.
-    std::vector<std::pair<base::duration, std::uint64_t>> accepted_;
-    std::map<base::zone_id, zone_figures> figures_;
     std::map<base::zone_id, owner_row> checked_owners_;
     base::resources checked_total_;
     base::resources allowed_;
--- /dev/null
+++ b/test/coordination/quota_ledger_test.cpp
@@ -0,0 +1,132 @@
+// Event histories of quota slices, and of the adoption that bounds their use.
+
+#include <coltsfootrack/coordination/adoption_tracker.hpp>
+#include <coltsfootrack/coordination/quota_ledger.hpp>
+
+#include <chrono>
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootrack::coordination
+{
+
+class quota_ledger_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(quota_ledger_test);
+    CPPUNIT_TEST(limit_lowered_shrinks_in_proportion_then_absorbs);
+    CPPUNIT_TEST(raise_in_doubt_is_resolved_by_newer_row);
+    CPPUNIT_TEST(slice_unused_for_thirty_seconds_is_returned);
+    CPPUNIT_TEST(takeover_pending_workers_bound_the_use);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against starts above a lowered limit, against a slice that is
+    // given up while its tasks run, and against a limit that stays exceeded
+    // because a zone is cut off.
+    void limit_lowered_shrinks_in_proportion_then_absorbs()
+    {
+        ledger_.row_read({1, {{a_, cpu(60)}, {b_, cpu(40)}}});
+        ledger_.limit_changed(cpu(100), 5, at(0));
+        ledger_.set_demand(cpu(50), {}, at(0));
+        ledger_.limit_changed(cpu(50), 6, at(1000));
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(30));
+        CPPUNIT_ASSERT(ledger_.to_preempt() == cpu(20));
+        CPPUNIT_ASSERT(!ledger_.plan(at(1000)));
+        ledger_.set_demand(cpu(30), {}, at(5000));
+        auto proposal = ledger_.plan(at(5000));
+        CPPUNIT_ASSERT(proposal && !proposal->limit_version);
+        CPPUNIT_ASSERT(proposal->slices.at(a_) == cpu(30));
+        ledger_.proposal_applied(proposal->id, 2);
+        CPPUNIT_ASSERT(!ledger_.plan(at(24000)));
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(30));
+        // Zone b has not followed for 24 s; it keeps 40.
+        ledger_.plan(at(26000));
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(10));
+    }
+
+    // Guards against using a raise that may not have taken effect.
+    void raise_in_doubt_is_resolved_by_newer_row()
+    {
+        ledger_.row_read({1, {{a_, cpu(10)}}});
+        ledger_.limit_changed(cpu(100), 5, at(0));
+        ledger_.set_demand(cpu(10), cpu(5), at(0));
+        const auto proposal = ledger_.plan(at(0));
+        CPPUNIT_ASSERT(proposal && proposal->limit_version == 5U);
+        // A third of the free part for each of three zones.
+        CPPUNIT_ASSERT(proposal->slices.at(a_) == cpu(40));
+        ledger_.outcome_unknown(proposal->id);
+        CPPUNIT_ASSERT(ledger_.needs_read());
+        ledger_.row_read({1, {{a_, cpu(10)}}});
+        CPPUNIT_ASSERT(ledger_.needs_read() && ledger_.usable() == cpu(10));
+        ledger_.row_read({3, {{a_, cpu(40)}, {b_, cpu(20)}}});
+        CPPUNIT_ASSERT(!ledger_.needs_read());
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(40));
+    }
+
+    // Guards against idle slices that other zones wait for, and against using
+    // what is being returned.
+    void slice_unused_for_thirty_seconds_is_returned()
+    {
+        ledger_.row_read({1, {{a_, cpu(40)}}});
+        ledger_.limit_changed(cpu(100), 5, at(0));
+        ledger_.set_demand(cpu(40), {}, at(0));
+        for (int ms = 1000; ms <= 30000; ms += 1000)
+        {
+            ledger_.set_demand(cpu(15), {}, at(ms));
+            CPPUNIT_ASSERT(!ledger_.plan(at(ms)));
+        }
+        std::optional<quota_proposal> proposal;
+        for (int ms = 31000; ms <= 40000 && !proposal; ms += 1000)
+        {
+            ledger_.set_demand(cpu(15), {}, at(ms));
+            proposal = ledger_.plan(at(ms));
+        }
+        CPPUNIT_ASSERT(proposal && proposal->slices.at(a_) == cpu(15));
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(15));
+        ledger_.proposal_rejected(proposal->id);
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(40));
+    }
+
+    // Guards against starting work, or giving up a slice, that an unknown task
+    // of the former owner may be using.
+    void takeover_pending_workers_bound_the_use()
+    {
+        adoption_tracker adoption;
+        const base::worker_id one("1");
+        const base::worker_id two("2");
+        adoption.add_worker(one, cpu(32));
+        adoption.add_worker(two, cpu(32));
+        adoption.takeover(6, at(0));
+        adoption.adopted(one, 5);
+        CPPUNIT_ASSERT(adoption.state(one, at(1)) == adoption_state::pending);
+        adoption.adopted(one, 6);
+        CPPUNIT_ASSERT(adoption.state(one, at(1)) == adoption_state::adopted);
+        CPPUNIT_ASSERT(adoption.use_bound(cpu(20), cpu(5), at(1)) == cpu(20));
+        CPPUNIT_ASSERT(adoption.use_bound(cpu(90), cpu(5), at(1)) == cpu(37));
+        CPPUNIT_ASSERT(adoption.use_bound(cpu(2), cpu(5), at(1)) == cpu(5));
+        CPPUNIT_ASSERT(adoption.state(two, at(31999)) ==
+                       adoption_state::pending);
+        CPPUNIT_ASSERT(adoption.state(two, at(32000)) ==
+                       adoption_state::lapsed);
+        CPPUNIT_ASSERT(adoption.use_bound(cpu(90), cpu(5), at(32000)) ==
+                       cpu(5));
+    }
+
+private:
+    static base::time_point at(int ms)
+    {
+        return base::time_point(std::chrono::milliseconds(ms));
+    }
+
+    static base::resources cpu(std::int64_t amount)
+    {
+        return {amount, 0, 0};
+    }
+
+    base::zone_id a_{"a"};
+    base::zone_id b_{"b"};
+    quota_ledger ledger_{base::team_id("t"), a_, 3};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(quota_ledger_test);
+
+} // namespace coltsfootrack::coordination
