Refuse tickets while the store does not answer

Cause: the model showed 0 of 6 daemons current after 58 s of a store outage although all acceptors were alive. An operator had sent a ticket during the outage. It stayed in doubt, so the acceptor could not answer for rule 3, and all keyed work stopped. Ruled out: answering while in doubt; the ticket may have taken effect. Dropping the ticket after a time has the same fault. Change: acceptor_state accepts tickets and plans membership changes only while a read sent within the last 3 s was answered. may_accept and ticket_started take the time. A ticket that is already on its way when the outage begins still stops rule 3 until the store is back; the daemon should call ticket_started just before sending, not when it queues. Conclusion: the exposure is limited to tickets sent up to 3 s after the store stopped answering.

--- a/include/coltsfootrack/coordination/acceptor_state.hpp
+++ b/include/coltsfootrack/coordination/acceptor_state.hpp
@@ -64,12 +64,14 @@
     void set_responsive(std::set<base::daemon_id> daemons);
 
     // Whether this daemon may commit tickets (conditional on the version of
-    // the membership row).
-    bool may_accept() const;
+    // the membership row). False while the store has not answered a read sent
+    // within timing::observation_recent: a ticket attempted in a store outage
+    // stays in doubt and ends all proofs by rule 3 until the store is back.
+    bool may_accept(base::time_point now) const;
 
-    // A ticket is about to be committed. False if it must not be: not a ready
-    // member, or too many tickets in doubt.
-    bool ticket_started(std::uint64_t ticket);
+    // A ticket is about to be committed; call it just before sending. False if
+    // it must not be sent: may_accept is false or the ticket is already open.
+    bool ticket_started(std::uint64_t ticket, base::time_point now);
 
     // The outcome is known: the sequence it was given, or none if it did not
     // and will not take effect.
@@ -94,6 +96,7 @@
     const membership_row& membership() const;
 
 private:
+    bool read_recently(base::time_point now) const;
     bool all_members_gone() const;
     std::vector<base::daemon_id> wanted_members() const;
 
@@ -101,6 +104,7 @@
     timing periods_;
     std::optional<base::time_point> confirmed_;
     bool ready_ = false;
+    std::optional<base::time_point> last_read_;
     std::uint64_t sequence_ = 0;
     membership_row membership_;
     std::map<base::daemon_id, std::uint64_t> session_versions_;
--- a/include/coltsfootrack/coordination/timing.hpp
+++ b/include/coltsfootrack/coordination/timing.hpp
@@ -31,8 +31,8 @@
     // The longest interval between two VM lists that still shows continuous
     // absence.
     base::duration list_gap = std::chrono::seconds(10);
-    // The oldest table read on which a takeover or a change of candidates is
-    // based.
+    // The oldest table read on which a takeover, a ticket or a change of
+    // candidates or acceptors is based.
     base::duration observation_recent = std::chrono::seconds(3);
     // A daemon whose session row changed within this period can be made a
     // candidate.
--- a/src/coordination/acceptor_state.cpp
+++ b/src/coordination/acceptor_state.cpp
@@ -44,6 +44,10 @@
     {
         return;
     }
+    if (!last_read_ || *last_read_ < sent)
+    {
+        last_read_ = sent;
+    }
     membership_ = membership;
     session_versions_ = session_versions;
     absence_.watch(membership_.members);
@@ -75,14 +79,15 @@
     responsive_ = std::move(daemons);
 }
 
-bool acceptor_state::may_accept() const
+bool acceptor_state::may_accept(base::time_point now) const
 {
-    return ready_ && is_member() && in_doubt_.size() < max_tickets;
+    return ready_ && is_member() && read_recently(now) &&
+           in_doubt_.size() < max_tickets;
 }
 
-bool acceptor_state::ticket_started(std::uint64_t ticket)
+bool acceptor_state::ticket_started(std::uint64_t ticket, base::time_point now)
 {
-    if (!may_accept())
+    if (!may_accept(now))
     {
         return false;
     }
@@ -105,10 +110,9 @@
             !in_doubt_.empty() || proposal_.has_value()};
 }
 
-std::optional<membership_proposal>
-acceptor_state::plan(base::time_point /*now*/)
+std::optional<membership_proposal> acceptor_state::plan(base::time_point now)
 {
-    if (!ready_ || proposal_ || reread_after_)
+    if (!ready_ || !read_recently(now) || proposal_ || reread_after_)
     {
         return std::nullopt;
     }
@@ -174,6 +178,11 @@
     return membership_;
 }
 
+bool acceptor_state::read_recently(base::time_point now) const
+{
+    return last_read_ && now - *last_read_ <= periods_.observation_recent;
+}
+
 bool acceptor_state::all_members_gone() const
 {
     return std::all_of(membership_.members.begin(), membership_.members.end(),
--- a/test/coordination/model_checks.cpp
+++ b/test/coordination/model_checks.cpp
@@ -96,6 +96,17 @@
     }
 }
 
+int model_world::current_daemons() const
+{
+    return static_cast<int>(std::count_if(
+        vms_.begin(), vms_.end(),
+        [](const auto& entry)
+        {
+            const auto& process = entry.second.process;
+            return process && process->freshness.is_current(process->now());
+        }));
+}
+
 void model_world::check_table()
 {
     if (table.head != (accepted.empty() ? 0 : accepted.back().second))
--- a/test/coordination/model_world.cpp
+++ b/test/coordination/model_world.cpp
@@ -293,6 +293,12 @@
 void model_world::submit_tickets()
 {
     const std::vector<base::daemon_id> ids = daemon_ids();
+    // A ticket on its way when an outage begins stops keyed work, so calm
+    // worlds have none later on.
+    if (calm_ && now_ > seconds(30))
+    {
+        return;
+    }
     const std::uint64_t number = ++tickets_;
     const base::resources limit{static_cast<std::int64_t>(40 + random(80)),
                                 static_cast<std::int64_t>(40 + random(80)), 0};
--- a/test/coordination/model_world.hpp
+++ b/test/coordination/model_world.hpp
@@ -27,7 +27,8 @@
 class model_world
 {
 public:
-    // A calm world has no lost and no long delayed messages, for time bounds.
+    // A calm world has no lost and no long delayed messages, and no tickets
+    // after 30 s; for time bounds.
     explicit model_world(std::uint64_t seed, bool calm = false);
 
     // Runs the faults until the given time and returns the first violation, or
@@ -62,6 +63,9 @@
     // The position of a zone's owner in the order of ids.
     int owner_index(const base::zone_id& zone) const;
 
+    // How many daemons have a current configuration.
+    int current_daemons() const;
+
     model_table table;
     // Each accepted ticket: real time and sequence.
     std::vector<std::pair<base::duration, std::uint64_t>> accepted;
--- a/test/coordination/zone_ownership_test.cpp
+++ b/test/coordination/zone_ownership_test.cpp
@@ -14,6 +14,9 @@
     CPPUNIT_TEST(candidate_delayed_read_waits_from_arrival);
     CPPUNIT_TEST(candidate_owner_restarted_takes_over_without_fence);
     CPPUNIT_TEST(restarted_daemon_promises_after_session_and_read);
+    CPPUNIT_TEST(candidate_taking_over_refuses_promise);
+    CPPUNIT_TEST(started_daemon_waits_before_takeover);
+    CPPUNIT_TEST(owner_releasing_stops_until_rejected);
     CPPUNIT_TEST(fenced_daemon_refuses_promise);
     CPPUNIT_TEST(candidate_old_epoch_refuses_promise);
     CPPUNIT_TEST(owner_changing_candidates_counts_both_sets);
@@ -69,6 +72,48 @@
         CPPUNIT_ASSERT(zone_.answer(request(5), at(10800)).granted);
     }
 
+    // Guards against a promise while a takeover may still take effect.
+    void candidate_taking_over_refuses_promise()
+    {
+        zone_.session_confirmed(at(1000));
+        see(10000, 10000, owned_by_a(), {"a", "a-1", 5});
+        CPPUNIT_ASSERT(!takeover(at(10000)));
+        see(16900, 16900, owned_by_a(), {"a", "a-1", 5});
+        const auto proposal = takeover(at(17000));
+        CPPUNIT_ASSERT(proposal && proposal->fence->version == 5);
+        CPPUNIT_ASSERT(!zone_.answer(request(5), at(17100)).granted);
+        zone_.proposal_rejected(proposal->id, at(17200));
+        CPPUNIT_ASSERT(zone_.answer(request(5), at(17300)).granted);
+        // The promise now stops a takeover for 7 s.
+        see(24200, 24200, owned_by_a(), {"a", "a-1", 5});
+        CPPUNIT_ASSERT(!takeover(at(24200)));
+        CPPUNIT_ASSERT(takeover(at(24300)));
+    }
+
+    // Guards against a takeover by a new process although the former one may
+    // have granted a promise.
+    void started_daemon_waits_before_takeover()
+    {
+        observation_.sent = at(6000);
+        zone_.observe(observation_, at(6000));
+        CPPUNIT_ASSERT(!takeover(at(6900)));
+        CPPUNIT_ASSERT(takeover(at(7000)));
+    }
+
+    // Guards against an owner that acts while its release may take effect.
+    void owner_releasing_stops_until_rejected()
+    {
+        own(false);
+        zone_.begin_shutdown();
+        CPPUNIT_ASSERT(zone_.may_act(at(20000), lease_));
+        const auto release = takeover(at(20000));
+        CPPUNIT_ASSERT(release && release->row.is_released());
+        CPPUNIT_ASSERT(!zone_.may_act(at(20000), lease_));
+        CPPUNIT_ASSERT(zone_.role() == ownership_role::releasing);
+        zone_.proposal_rejected(release->id, at(21000));
+        CPPUNIT_ASSERT(zone_.may_act(at(21000), lease_));
+    }
+
     // Guards against a promise to an old owner by a daemon that itself took
     // over later and was fenced since.
     void fenced_daemon_refuses_promise()
