Add the command-line tool

Cause: operators and teams had no tool for tickets, keys and jobs. Ruled out: keys as arguments, which other users of the VM can read; fail-over for drain, which would drain another daemon than the one meant; a repeat of a submission whose outcome is unknown.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -11,6 +11,13 @@
         add_executable(test-${part} ${sources})
         target_link_libraries(test-${part} PRIVATE coltsfootrack-test-main)
         target_include_directories(test-${part} PRIVATE test)
+        if(part STREQUAL cli)
+            # The tool's sources belong to no library.
+            set(tool ${COLTSFOOTRACK_CLI_SOURCES})
+            list(FILTER tool EXCLUDE REGEX "src/cli/main\\.cpp$")
+            target_sources(test-cli PRIVATE ${tool})
+            target_include_directories(test-cli PRIVATE src)
+        endif()
         add_test(NAME ${part} COMMAND test-${part})
         set_tests_properties(${part} PROPERTIES
             TIMEOUT 300 WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
--- /dev/null
+++ b/src/cli/key_commands.cpp
@@ -0,0 +1,49 @@
+// key create.
+
+#include "command.hpp"
+#include "output.hpp"
+
+#include <coltsfootrack/config/new_key.hpp>
+#include <coltsfootrack/config/ticket_object.hpp>
+
+#include <ostream>
+
+namespace coltsfootrack::cli
+{
+namespace
+{
+
+absl::Status create(const options& given, const environment& outside)
+{
+    const absl::StatusOr<config::new_key> key =
+        config::make_key(given.id, base::team_id(given.team), outside.random);
+    if (!key.ok())
+    {
+        return key.status();
+    }
+    const std::string object = config::canonical_json(key->object);
+    if (given.json)
+    {
+        print_result(
+            given, outside,
+            {{"key", key->plain}, {"object", nlohmann::json::parse(object)}});
+        return absl::OkStatus();
+    }
+    *outside.out << "Key, shown only once:\n"
+                 << key->plain << "\n\nObject for a ticket:\n"
+                 << object << '\n';
+    return absl::OkStatus();
+}
+
+} // namespace
+
+std::vector<command> key_commands()
+{
+    return {{"key create",
+             {},
+             "Make a key; print it once, and the object for a ticket.",
+             {"team", "id"},
+             create}};
+}
+
+} // namespace coltsfootrack::cli
