--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -14,6 +14,13 @@
         if(part STREQUAL daemon)
             target_link_libraries(test-daemon PRIVATE coltsfootrack-daemon)
         endif()
+        if(part STREQUAL cli)
+            # The tool's sources belong to no library.
+            set(tool ${COLTSFOOTRACK_CLI_SOURCES})
+            list(FILTER tool EXCLUDE REGEX "src/cli/main\\.cpp$")
+            target_sources(test-cli PRIVATE ${tool})
+            target_include_directories(test-cli PRIVATE src)
+        endif()
         add_test(NAME ${part} COMMAND test-${part})
         set_tests_properties(${part} PROPERTIES
             TIMEOUT 300 WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
