--- a/include/coltsfootrack/daemon/config_agent.hpp
+++ b/include/coltsfootrack/daemon/config_agent.hpp
@@ -54,7 +54,7 @@
 
     bool may_accept() const
     {
-        return acceptor_.may_accept();
+        return acceptor_.may_accept(shared_.clock.now());
     }
 
     // The daemons that may accept tickets, as last read.
--- a/src/daemon/config_agent.cpp
+++ b/src/daemon/config_agent.cpp
@@ -313,7 +313,7 @@
 void config_agent::apply_ticket(const config::ticket& change,
                                 reply_function reply)
 {
-    if (!acceptor_.may_accept())
+    if (!acceptor_.may_accept(shared_.clock.now()))
     {
         reply(http::error_response(
             base::make_error(base::error_kind::not_owner,
@@ -385,7 +385,8 @@
         refuse(content);
         return;
     }
-    if (work->generation != generation_ || !acceptor_.ticket_started(work->id))
+    if (work->generation != generation_ ||
+        !acceptor_.ticket_started(work->id, shared_.clock.now()))
     {
         refuse(base::make_error(base::error_kind::not_owner,
                                 "this daemon does not accept tickets"));
--- a/src/daemon/request_api.cpp
+++ b/src/daemon/request_api.cpp
@@ -386,7 +386,6 @@
         else if (own && answer.status == 503 && refused == "leaving")
         {
             outcome = attempt_outcome::refused_leaving;
-            router_.mark_leaving(work.service.name, sent.runner);
         }
         else if (own)
         {
