--- a/test/config/ticket_test.cpp
+++ b/test/config/ticket_test.cpp
@@ -128,6 +128,7 @@
     CPPUNIT_TEST(ticket_many_errors_are_bounded);
     CPPUNIT_TEST(ticket_too_many_objects_are_refused);
     CPPUNIT_TEST(ticket_truncated_anywhere_is_refused);
+    CPPUNIT_TEST(ticket_damaged_anywhere_is_refused_or_complete);
     CPPUNIT_TEST(ticket_refused_value_is_not_quoted);
     CPPUNIT_TEST(ticket_canonical_text_is_read_back);
     CPPUNIT_TEST(ticket_hash_ignores_order_and_layout_only);
@@ -218,6 +219,40 @@
         }
     }
 
+    // Guards against a damaged text that stops the daemon, or that is accepted
+    // with a part of its content lost.
+    void ticket_damaged_anywhere_is_refused_or_complete()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            "a damaged ticket is refused or read back",
+            []
+            {
+                std::string text = good;
+                const auto edits = *rc::gen::container<
+                    std::vector<std::pair<std::size_t, char>>>(
+                    *rc::gen::inRange<std::size_t>(1, 4),
+                    rc::gen::pair(rc::gen::inRange<std::size_t>(0, good.size()),
+                                  rc::gen::element('"', '{', '}', '[', ']', ',',
+                                                   ':', '0', '-', '.', 'e', '/',
+                                                   ' ', '\\', '\n', '\0',
+                                                   '\xc3')));
+                for (const auto& [at, replacement] : edits)
+                {
+                    text[at] = replacement;
+                }
+                const auto read = parse_ticket(text);
+                if (!read.ok())
+                {
+                    RC_ASSERT(!read.status().message().empty());
+                    return;
+                }
+                RC_ASSERT(read->objects.size() == 5U);
+                const auto same = parse_ticket(canonical_json(*read));
+                RC_ASSERT(same.ok());
+                RC_ASSERT(*same == *read);
+            }));
+    }
+
     // Guards against a secret, pasted into the wrong place, that reaches logs.
     void ticket_refused_value_is_not_quoted()
     {
