Count the bytes of HTTP clients and measure control

Cause: the cost of control per daemon has a bound in bytes per second, and nothing counted the bytes.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -50,9 +50,12 @@
 # tests that start processes.
 add_library(coltsfootrack-system STATIC
     test/system/child_process.cpp test/system/cluster.cpp
-    test/system/fleet_checks.cpp test/system/request_load.cpp
+    test/system/fleet_checks.cpp test/system/process_usage.cpp
+    test/system/request_load.cpp
     test/system/sample_ticket.cpp)
 target_include_directories(coltsfootrack-system PUBLIC test/system)
 target_link_libraries(coltsfootrack-system PUBLIC coltsfootrack)
 add_executable(demo test/system/demo.cpp)
 target_link_libraries(demo PRIVATE coltsfootrack-system)
+add_executable(measure_control test/system/measure_control.cpp)
+target_link_libraries(measure_control PRIVATE coltsfootrack-system)
--- a/include/coltsfootrack/daemon/call_pool.hpp
+++ b/include/coltsfootrack/daemon/call_pool.hpp
@@ -46,6 +46,12 @@
               std::chrono::milliseconds timeout, base::time_point send_before,
               callback done);
 
+    // The bytes of all calls so far.
+    http::client_traffic traffic() const
+    {
+        return client_.traffic();
+    }
+
 private:
     struct item
     {
--- a/include/coltsfootrack/http/client.hpp
+++ b/include/coltsfootrack/http/client.hpp
@@ -3,9 +3,12 @@
 
 #include <coltsfootrack/http/client_options.hpp>
 #include <coltsfootrack/http/client_result.hpp>
+#include <coltsfootrack/http/client_traffic.hpp>
 #include <coltsfootrack/http/request.hpp>
 
+#include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -42,11 +45,16 @@
     client_result send(const std::string& address, const request& message,
                        std::chrono::milliseconds total_timeout);
 
+    // The bytes of all calls so far, headers included.
+    client_traffic traffic() const;
+
 private:
     class pool;
 
     client_options options_;
     std::unique_ptr<pool> pool_;
+    std::atomic<std::uint64_t> sent_bytes_{0};
+    std::atomic<std::uint64_t> received_bytes_{0};
 };
 
 } // namespace coltsfootrack::http
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -210,6 +210,15 @@
                absl::string_view(coding.data(), coding.size()), "chunked");
 }
 
+// The size of the request as sent, body included.
+std::uint64_t bytes_sent(CURL* handle, const request& message)
+{
+    long header = 0;
+    curl_easy_getinfo(handle, CURLINFO_REQUEST_SIZE, &header);
+    return header > 0 ? static_cast<std::uint64_t>(header) + message.body.size()
+                      : 0;
+}
+
 absl::Status status_of(CURLcode code, const transfer& current)
 {
     using base::error_kind;
@@ -318,6 +327,11 @@
 
 client::~client() = default;
 
+client_traffic client::traffic() const
+{
+    return {sent_bytes_.load(), received_bytes_.load()};
+}
+
 client_result client::send(const std::string& address, const request& message)
 {
     return send(address, message, options_.total_timeout);
@@ -384,6 +398,8 @@
     }
 
     const CURLcode code = curl_easy_perform(handle);
+    sent_bytes_ += bytes_sent(handle, message);
+    received_bytes_ += current.header_bytes + current.answer.body.size();
     long status = 0;
     curl_easy_getinfo(handle, CURLINFO_RESPONSE_CODE, &status);
     current.answer.status = static_cast<int>(status);
