--- a/include/coltsfootrack/store/table_client.hpp
+++ b/include/coltsfootrack/store/table_client.hpp
@@ -44,10 +44,9 @@
 {
 public:
     using commit_callback = std::function<void(const commit_outcome&)>;
-    using read_callback =
-        std::function<void(const absl::StatusOr<read_result>&)>;
-    using vm_list_callback =
-        std::function<void(const absl::StatusOr<vm_list>&)>;
+    // The result is handed over, so that it can be moved to another thread.
+    using read_callback = std::function<void(absl::StatusOr<read_result>)>;
+    using vm_list_callback = std::function<void(absl::StatusOr<vm_list>)>;
 
     // Starts the threads; the session row is registered at once. The clock must
     // outlive the client.
