Pace commits and publish the traffic of control

Cause: the settings budget commits and the table client budgeted rows, so a daemon with a fast platform could commit hundreds of times a second, and a burst of rows was refused. Change: commits above the budget wait, so that more mutations share each; rows are limited to 20 per budgeted commit. The bytes of peers, table and workers are metrics.

--- a/include/coltsfootrack/daemon/daemon_process.hpp
+++ b/include/coltsfootrack/daemon/daemon_process.hpp
@@ -73,6 +73,7 @@
     void on_gained(std::uint64_t epoch);
     void send_heartbeat();
     void send_usage();
+    void publish_traffic();
     void on_usage(const wire::usage_report& report);
     nlohmann::json teams_json() const;
     void update_own_zone();
--- a/include/coltsfootrack/daemon/store_session.hpp
+++ b/include/coltsfootrack/daemon/store_session.hpp
@@ -57,6 +57,9 @@
 
     void fetch_vm_list(store::table_client::vm_list_callback callback);
 
+    // The bytes of all sessions so far.
+    http::client_traffic traffic() const;
+
     // Finishes queued mutations for at most the given time.
     void stop(base::duration limit);
 
@@ -71,6 +74,8 @@
     mutable std::mutex mutex_;
     std::string incarnation_;
     std::shared_ptr<store::table_client> table_;
+    // Of the sessions that have ended.
+    http::client_traffic closed_traffic_;
 };
 
 } // namespace coltsfootrack::daemon
--- a/include/coltsfootrack/store/table_client.hpp
+++ b/include/coltsfootrack/store/table_client.hpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/http/client_traffic.hpp>
 #include <coltsfootrack/store/commit_outcome.hpp>
 #include <coltsfootrack/store/mutation.hpp>
 #include <coltsfootrack/store/read_result.hpp>
@@ -73,6 +74,9 @@
     // Queues a request for the VM list, as read does.
     absl::Status fetch_vm_list(vm_list_callback callback);
 
+    // The bytes of all calls to the platform so far.
+    http::client_traffic traffic() const;
+
     // Whether the session has been taken away.
     bool fenced() const;
 
--- a/include/coltsfootrack/store/table_options.hpp
+++ b/include/coltsfootrack/store/table_options.hpp
@@ -41,9 +41,11 @@
     // The longest answer to a read.
     std::size_t max_read_bytes = std::size_t{32} << 20U;
 
-    // Budgets, in rows written and in calls read per second; one second's worth
-    // may be used at once. Above it work is refused: store_budget_spent.
-    // Renewals are charged and always made.
+    // Budgets per second, of which one second's worth may be used at once.
+    // Commits above theirs wait, so that more mutations share each. Rows
+    // written and calls read above theirs are refused: store_budget_spent.
+    // Renewals are charged as rows and always made.
+    double commits_per_second = 20;
     double writes_per_second = 100;
     double reads_per_second = 100;
 };
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -384,10 +384,30 @@
         }
     }
     config_.set_responsive(std::move(responsive));
+    publish_traffic();
     metrics_.set_value("control_busy_seconds",
                        std::chrono::duration<double>(loop_.busy()).count());
 }
 
+void daemon_process::publish_traffic()
+{
+    std::uint64_t peers = 0;
+    const wire::peer_traffic links = peers_->traffic();
+    for (std::size_t i = 0; i < wire::message_type_count; ++i)
+    {
+        peers += links.sent[i].bytes + links.received[i].bytes;
+    }
+    const http::client_traffic store = store_.traffic();
+    const http::client_traffic workers = calls_.traffic();
+    const std::uint64_t table = store.sent + store.received;
+    const std::uint64_t calls = workers.sent + workers.received;
+    metrics_.set_value("peer_bytes", static_cast<double>(peers));
+    metrics_.set_value("store_bytes", static_cast<double>(table));
+    metrics_.set_value("worker_bytes", static_cast<double>(calls));
+    metrics_.set_value("control_bytes",
+                       static_cast<double>(peers + table + calls));
+}
+
 void daemon_process::send_usage()
 {
     if (!scheduler_)
--- a/src/daemon/store_session.cpp
+++ b/src/daemon/store_session.cpp
@@ -13,6 +13,10 @@
 namespace
 {
 
+// The platform counts a commit as one write; its rows are limited only to
+// bound the bytes.
+constexpr double rows_per_commit = 20;
+
 store::table_options make_options(const config::daemon_settings& settings,
                                   const std::string& incarnation)
 {
@@ -20,7 +24,9 @@
     options.platform = config::to_string(settings.platform);
     options.session = {settings.id, incarnation, settings.zone,
                        config::to_string(settings.peer)};
-    options.writes_per_second = settings.store.writes_per_second;
+    options.commits_per_second = settings.store.writes_per_second;
+    options.writes_per_second =
+        settings.store.writes_per_second * rows_per_commit;
     options.reads_per_second = settings.store.reads_per_second;
     return options;
 }
@@ -90,6 +96,11 @@
         const std::lock_guard<std::mutex> lock(mutex_);
         incarnation_ = incarnation;
         former = std::move(table_);
+        if (former)
+        {
+            closed_traffic_.sent += former->traffic().sent;
+            closed_traffic_.received += former->traffic().received;
+        }
         table_ = std::make_shared<store::table_client>(
             make_options(settings_, incarnation), clock_, base::system_random(),
             std::move(hooks));
@@ -153,6 +164,18 @@
     }
 }
 
+http::client_traffic store_session::traffic() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    http::client_traffic sum = closed_traffic_;
+    if (table_)
+    {
+        sum.sent += table_->traffic().sent;
+        sum.received += table_->traffic().received;
+    }
+    return sum;
+}
+
 void store_session::stop(base::duration limit)
 {
     if (const auto client = table())
--- a/src/store/table_client.cpp
+++ b/src/store/table_client.cpp
@@ -54,6 +54,8 @@
         , hooks_(std::move(hooks))
         , http_(http_options(options))
         , stream_(options, std::move(random))
+        , commit_budget_(options.commits_per_second)
+        , commit_pause_(1 / options.commits_per_second)
         , write_budget_(options.writes_per_second)
         , read_budget_(options.reads_per_second)
         , commit_thread_([this] { run_commits(); })
@@ -88,6 +90,11 @@
         return accepted;
     }
 
+    http::client_traffic traffic() const
+    {
+        return http_.traffic();
+    }
+
     // Queues a call of the reads thread. It is told whether it must be given up
     // because the client is stopping.
     absl::Status enqueue_read(std::function<void(bool)> call)
@@ -168,7 +175,17 @@
         while (!must_stop())
         {
             submitted_ = false;
+            if (!commit_budget_.try_take(1, clock_.now()))
+            {
+                // Mutations that arrive meanwhile join the next commit.
+                commit_wakeup_.wait_for(lock, commit_pause_);
+                continue;
+            }
             const stream_call call = stream_.next(clock_.now());
+            if (call.action != stream_call::action::commit)
+            {
+                commit_budget_.charge(-1, clock_.now());
+            }
             deliver(lock);
             switch (call.action)
             {
@@ -319,6 +336,8 @@
     std::condition_variable commit_wakeup_;
     std::condition_variable reads_wakeup_;
     commit_stream stream_;
+    token_bucket commit_budget_;
+    std::chrono::duration<double> commit_pause_;
     token_bucket write_budget_;
     token_bucket read_budget_;
     absl::flat_hash_map<std::uint64_t, commit_callback> callbacks_;
@@ -377,6 +396,11 @@
         });
 }
 
+http::client_traffic table_client::traffic() const
+{
+    return state_->traffic();
+}
+
 bool table_client::fenced() const
 {
     return state_->fenced();
