--- a/test/system/measure_control.cpp
+++ b/test/system/measure_control.cpp
@@ -98,8 +98,7 @@
                         {20000000, 80000000, 800});
         }
         key_ = ticket.key("k0", "t0");
-        ticket
-            .workload("long", "t0", "service", {500, 512, 0}, 1, 0)
+        ticket.workload("long", "t0", "service", {500, 512, 0}, 1, 0)
             .workload("short", "t0", "batch", {250, 256, 0}, 1, 400)
             .workload("urgent", "t0", "batch", {16000, 4096, 0}, 1, 300,
                       {{"urgent", true}})
@@ -117,9 +116,9 @@
                                      {"tasks", size.running_tasks / 3}})
                          .dump());
             }
-            if (!cluster::wait_for([&] { return running() >=
-                                                size.running_tasks / 3 * 3; },
-                                   seconds(60)))
+            if (!cluster::wait_for(
+                    [&] { return running() >= size.running_tasks / 3 * 3; },
+                    seconds(60)))
             {
                 throw std::runtime_error("the tasks did not start");
             }
@@ -182,8 +181,8 @@
     void idle(const shape& size)
     {
         open(size);
-        const cost value = measure(
-            [this] { std::this_thread::sleep_for(seconds(span_s_)); });
+        const cost value =
+            measure([this] { std::this_thread::sleep_for(seconds(span_s_)); });
         report(fmt::format("workers={},daemons={},tasks={},teams={}",
                            size.workers_per_zone * 3, size.daemons_per_zone * 3,
                            size.running_tasks, size.teams),
