Hand over results in the table client's tests

Cause: a copy of a status that two threads hold is released inside the uninstrumented absl library, which the thread sanitizer takes for a race. Change: the VM list test moves its result, as the read test does.

--- a/test/store/table_client_test.cpp
+++ b/test/store/table_client_test.cpp
@@ -424,10 +424,11 @@
         const auto fetch = [&table]
         {
             std::promise<absl::StatusOr<vm_list>> answer;
-            CPPUNIT_ASSERT(table
-                               .fetch_vm_list([&answer](const auto& result)
-                                              { answer.set_value(result); })
-                               .ok());
+            CPPUNIT_ASSERT(
+                table
+                    .fetch_vm_list([&answer](absl::StatusOr<vm_list> result)
+                                   { answer.set_value(std::move(result)); })
+                    .ok());
             return answer.get_future().get();
         };
         nlohmann::json worker = {
