Close gaps that switched-off rules showed in the tests

Cause: with one rule switched off at a time, the tests still passed for: the promise during a takeover, the hold after a start, acting while releasing, the refusal by a fenced daemon, and the takeover by a restarted sole owner. Two promise tests passed for the wrong reason, since the daemon had not confirmed its session; they now check that the same request is granted without the condition.

--- a/test/coordination/quota_ledger_test.cpp
+++ b/test/coordination/quota_ledger_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST_SUITE(quota_ledger_test);
     CPPUNIT_TEST(limit_lowered_shrinks_in_proportion_then_absorbs);
     CPPUNIT_TEST(raise_in_doubt_is_resolved_by_newer_row);
+    CPPUNIT_TEST(raise_takes_at_most_the_free_part);
     CPPUNIT_TEST(slice_unused_for_thirty_seconds_is_returned);
     CPPUNIT_TEST(takeover_pending_workers_bound_the_use);
     CPPUNIT_TEST_SUITE_END();
@@ -62,6 +63,16 @@
         CPPUNIT_ASSERT(ledger_.usable() == cpu(40));
     }
 
+    // Guards against a raise beyond what the other zones leave.
+    void raise_takes_at_most_the_free_part()
+    {
+        ledger_.row_read({1, {{b_, cpu(30)}}});
+        ledger_.limit_changed(cpu(100), 5, at(0));
+        ledger_.set_demand({}, cpu(200), at(0));
+        CPPUNIT_ASSERT(ledger_.plan(at(0))->slices.at(a_) == cpu(70));
+        CPPUNIT_ASSERT(ledger_.usable() == cpu(0));
+    }
+
     // Guards against idle slices that other zones wait for, and against using
     // what is being returned.
     void slice_unused_for_thirty_seconds_is_returned()
--- a/test/coordination/zone_ownership_test.cpp
+++ b/test/coordination/zone_ownership_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(restarted_daemon_promises_after_session_and_read);
     CPPUNIT_TEST(candidate_taking_over_refuses_promise);
     CPPUNIT_TEST(started_daemon_waits_before_takeover);
+    CPPUNIT_TEST(restarted_sole_owner_takes_over);
     CPPUNIT_TEST(owner_releasing_stops_until_rejected);
     CPPUNIT_TEST(fenced_daemon_refuses_promise);
     CPPUNIT_TEST(candidate_old_epoch_refuses_promise);
@@ -100,6 +101,17 @@
         CPPUNIT_ASSERT(takeover(at(7000)));
     }
 
+    // Guards against a zone without owner after the only daemon of its row was
+    // restarted: its VM stays on the list, and it is no candidate.
+    void restarted_sole_owner_takes_over()
+    {
+        const owner_row row{5, d("d"), "d-0", {}};
+        see(6000, 6000, row, {"d", "d-1", 9});
+        CPPUNIT_ASSERT(!takeover(at(6900)));
+        const auto proposal = takeover(at(7000));
+        CPPUNIT_ASSERT(proposal && proposal->row.epoch == 6);
+    }
+
     // Guards against an owner that acts while its release may take effect.
     void owner_releasing_stops_until_rejected()
     {
@@ -118,7 +130,9 @@
     // over later and was fenced since.
     void fenced_daemon_refuses_promise()
     {
+        zone_.session_confirmed(at(1000));
         see(10000, 10000, owned_by_a(), {"a", "a-1", 5});
+        CPPUNIT_ASSERT(zone_.answer(request(5), at(10050)).granted);
         zone_.session_fenced(at(10100));
         CPPUNIT_ASSERT(!zone_.answer(request(5), at(10200)).granted);
     }
@@ -126,8 +140,10 @@
     // Guards against keeping an owner of an ended epoch acting.
     void candidate_old_epoch_refuses_promise()
     {
+        zone_.session_confirmed(at(1000));
         see(10000, 10000, owned_by_a(), {"a", "a-1", 5});
         CPPUNIT_ASSERT(!zone_.answer(request(4), at(10200)).granted);
+        CPPUNIT_ASSERT(zone_.answer(request(5), at(10200)).granted);
     }
 
     // Guards against acting on the promises of too few candidates: an added
