Add the scheduler of placement

Cause: the part had an interface and no behaviour. Ruled out: an index over free room. Change: queues per team and tier grouped by what a task needs, weighted dominant-resource fair share, best fit, gangs started as a whole, reservations with backfill, preemption with holds, quarantine and condemnation, usage above the declared size, slices, and takeover.

--- a/include/coltsfootrack/placement/scheduler_options.hpp
+++ b/include/coltsfootrack/placement/scheduler_options.hpp
@@ -26,6 +26,8 @@
     // Searches for a worker in one step. What is left over is continued by the
     // next step.
     std::size_t max_searches_per_step = 64;
+    // Plans to preempt in one step, each a look at every running task.
+    std::size_t max_plans_per_step = 8;
     // Different task sizes of one team that one step looks at.
     std::size_t max_sizes_per_team = 16;
     // Stop actions for cancelled and condemned jobs in one step.
--- /dev/null
+++ b/src/placement/core_reserve.cpp
@@ -0,0 +1,229 @@
+// Room kept for gangs and large tasks, and what may run there before them.
+
+#include "scheduler_core.hpp"
+
+#include "fit.hpp"
+
+#include <algorithm>
+
+namespace coltsfootrack::placement
+{
+namespace
+{
+
+// The least further run time that is assumed of a task that has exceeded its
+// declared run time or has declared none.
+constexpr base::duration shortest_overrun = std::chrono::seconds(10);
+
+} // namespace
+
+base::time_point scheduler::core::estimated_end(const booking& booked) const
+{
+    if (booked.stopping)
+    {
+        return std::max(now_, booked.stopping_since + booked.grace);
+    }
+    if (jobs_[booked.job].spec.kind == job_kind::service)
+    {
+        return base::time_point::max();
+    }
+    if (booked.expected_end != base::time_point::max() &&
+        booked.expected_end > now_)
+    {
+        return booked.expected_end;
+    }
+    // Without a valid declaration a task is expected to run on for as long as
+    // it has run.
+    return now_ + std::max(now_ - booked.started, shortest_overrun);
+}
+
+bool scheduler::core::wants_reservation(const job_record& job) const
+{
+    if (!options_.reservations || job.reserved || job.holds > 0 ||
+        reservations_.size() >= options_.max_reservations ||
+        now_ - job.submitted < options_.reserve_after)
+    {
+        return false;
+    }
+    // Small tasks find room whenever something ends.
+    const base::resources& largest = fleet_.largest();
+    const base::resources twice = job.size * 2;
+    return job.spec.kind == job_kind::gang ||
+           (largest.cpu_milli > 0 && twice.cpu_milli >= largest.cpu_milli) ||
+           (largest.memory_mb > 0 && twice.memory_mb >= largest.memory_mb) ||
+           (largest.accelerators > 0 &&
+            twice.accelerators >= largest.accelerators);
+}
+
+bool scheduler::core::plan_reservation(handle place)
+{
+    job_record& job = jobs_[place];
+    const std::int64_t tasks =
+        job.spec.kind == job_kind::gang ? job.waiting.size() : 1;
+    std::int64_t total = 0;
+    events_.clear();
+    rooms_.assign(fleet_.end(), {});
+    fits_.assign(fleet_.end(), 0);
+    for (handle i = 0; i < fleet_.end(); ++i)
+    {
+        const worker_record& worker = fleet_[i];
+        if (!worker.known || worker.state != worker_state::live ||
+            worker.health != worker_health::healthy ||
+            worker.reserved_for != no_handle ||
+            !holds(worker.spec.capacity, job.size))
+        {
+            continue;
+        }
+        rooms_[i] = worker.free;
+        fits_[i] = times_in(rooms_[i], job.size, tasks);
+        total += fits_[i];
+        for (const handle booked : worker.bookings)
+        {
+            const base::time_point end = estimated_end(bookings_[booked]);
+            if (end != base::time_point::max())
+            {
+                events_.push_back(
+                    {end, bookings_[booked].serial, i, bookings_[booked].size});
+            }
+        }
+    }
+    std::sort(events_.begin(), events_.end());
+    base::time_point start = now_;
+    for (const release_event& event : events_)
+    {
+        if (total >= tasks)
+        {
+            break;
+        }
+        start = event.when;
+        total -= fits_[event.worker];
+        rooms_[event.worker] += event.size;
+        fits_[event.worker] = times_in(rooms_[event.worker], job.size, tasks);
+        total += fits_[event.worker];
+    }
+    if (total < tasks)
+    {
+        return false;
+    }
+    // As few workers as possible are kept.
+    reservation planned;
+    for (handle i = 0; i < fleet_.end(); ++i)
+    {
+        if (fits_[i] > 0)
+        {
+            planned.workers.push_back(i);
+        }
+    }
+    std::sort(planned.workers.begin(), planned.workers.end(),
+              [this](handle a, handle b)
+              {
+                  return fits_[a] != fits_[b]
+                             ? fits_[a] > fits_[b]
+                             : fleet_[a].order < fleet_[b].order;
+              });
+    std::int64_t left = tasks;
+    std::size_t used = 0;
+    while (left > 0)
+    {
+        const handle worker = planned.workers[used++];
+        const std::int64_t kept = std::min(left, fits_[worker]);
+        left -= kept;
+        fleet_[worker].reserved_for = place;
+        fleet_[worker].reserved = job.size * kept;
+        fleet_[worker].reserved_until = start;
+    }
+    planned.workers.resize(used);
+    planned.job = place;
+    planned.planned = now_;
+    planned.expected_start = start;
+    reservations_.push_back(std::move(planned));
+    job.reserved = true;
+    update_queue(place);
+    return true;
+}
+
+void scheduler::core::drop_reservation(handle place)
+{
+    if (!jobs_[place].reserved)
+    {
+        return;
+    }
+    const auto found = std::find_if(reservations_.begin(), reservations_.end(),
+                                    [place](const reservation& candidate)
+                                    { return candidate.job == place; });
+    for (const handle worker : found->workers)
+    {
+        fleet_[worker].reserved_for = no_handle;
+        fleet_[worker].reserved = {};
+    }
+    reservations_.erase(found);
+    jobs_[place].reserved = false;
+    room_changed();
+    update_queue(place);
+}
+
+void scheduler::core::renew_reservations()
+{
+    for (const reservation& kept : reservations_)
+    {
+        if (now_ - kept.planned < options_.replan_interval)
+        {
+            continue;
+        }
+        // A task that was let ahead by its declared run time and exceeds it
+        // would delay the job without end.
+        for (const handle worker : kept.workers)
+        {
+            for (const handle place : fleet_[worker].bookings)
+            {
+                const booking& booked = bookings_[place];
+                if (booked.backfill && booked.job != kept.job &&
+                    booked.expected_end < now_)
+                {
+                    request_stop(place, stop_reason::overran,
+                                 options_.stop_grace, false);
+                }
+            }
+        }
+        // One plan in a step; the others follow in the next steps.
+        const handle job = kept.job;
+        drop_reservation(job);
+        if (jobs_[job].queued)
+        {
+            plan_reservation(job);
+        }
+        return;
+    }
+}
+
+base::time_point scheduler::core::slice_ready(const job_record& job) const
+{
+    const team_record& team = teams_[job.team];
+    const std::int64_t tasks =
+        job.spec.kind == job_kind::gang ? job.waiting.size() : 1;
+    const base::resources need = job.size * tasks;
+    base::resources room = headroom(team);
+    if (holds(room, need))
+    {
+        return base::time_point::max();
+    }
+    std::vector<release_event> events;
+    for (const handle place : team.bookings)
+    {
+        const booking& booked = bookings_[place];
+        events.push_back(
+            {estimated_end(booked), booked.serial, booked.worker, booked.size});
+    }
+    std::sort(events.begin(), events.end());
+    for (const release_event& event : events)
+    {
+        room += event.size;
+        if (holds(room, need))
+        {
+            return event.when;
+        }
+    }
+    return base::time_point::max();
+}
+
+} // namespace coltsfootrack::placement
--- /dev/null
+++ b/src/placement/core_start.cpp
@@ -0,0 +1,113 @@
+// The search for workers and the start of tasks.
+
+#include "scheduler_core.hpp"
+
+#include "fit.hpp"
+#include <coltsfootrack/base/hex_token.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootrack::placement
+{
+
+bool scheduler::core::could_run_elsewhere(const job_record& job) const
+{
+    std::int64_t tasks =
+        job.spec.kind == job_kind::gang ? job.waiting.size() : 1;
+    for (handle place = 0; place < fleet_.end() && tasks > 0; ++place)
+    {
+        const worker_record& worker = fleet_[place];
+        if (worker.known && worker.state == worker_state::live &&
+            worker.health == worker_health::healthy &&
+            std::none_of(job.failures.begin(), job.failures.end(),
+                         [&worker](const task_failure& failure)
+                         { return failure.worker_serial == worker.serial; }))
+        {
+            tasks -= times_in(worker.spec.capacity, job.size, tasks);
+        }
+    }
+    return tasks <= 0;
+}
+
+worker_query scheduler::core::query_of(handle place) const
+{
+    const job_record& job = jobs_[place];
+    const tier level = tier_of(job.spec);
+    worker_query query;
+    query.size = job.size;
+    query.job = place;
+    query.respects_reservations = level == tier::batch;
+    if (job.spec.run_time > base::duration::zero())
+    {
+        query.end = now_ + job.spec.run_time;
+    }
+    query.allows_probation = level == tier::batch &&
+                             job.spec.kind == job_kind::batch &&
+                             !job.spec.exclusive;
+    query.keeps_accelerators =
+        options_.keep_accelerators &&
+        (level == tier::service ||
+         (level == tier::batch &&
+          (accelerators_wanted_ || accelerators_missing_)));
+    if (!job.failures.empty() && could_run_elsewhere(job))
+    {
+        query.avoid = &job.failures;
+    }
+    if (job.spec.rack_spread)
+    {
+        query.rack_tasks = &job.rack_tasks;
+    }
+    return query;
+}
+
+bool scheduler::core::start_tasks(handle place)
+{
+    job_record& job = jobs_[place];
+    const worker_query query = query_of(place);
+    const std::uint32_t tasks =
+        job.spec.kind == job_kind::gang ? job.waiting.size() : 1;
+    if (tasks > 1 && !fleet_.holds_all(query, tasks))
+    {
+        return false;
+    }
+    for (std::uint32_t i = 0; i < tasks; ++i)
+    {
+        const handle worker = fleet_.best(query);
+        if (worker == no_handle)
+        {
+            return false;
+        }
+        start_task(place, worker);
+    }
+    // Room found elsewhere replaces room that is still being freed.
+    if (job.holds > job.waiting.size())
+    {
+        drop_holds(place, job.holds - job.waiting.size());
+    }
+    drop_reservation(place);
+    update_queue(place);
+    return true;
+}
+
+void scheduler::core::start_task(handle place, handle worker)
+{
+    job_record& job = jobs_[place];
+    const std::uint32_t index = job.waiting.lowest();
+    job.waiting.erase(index);
+    const handle booked =
+        book(place, index, worker, job.size, base::hex_token(random_), now_);
+    const worker_record& chosen = fleet_[worker];
+    bookings_[booked].backfill = tier_of(job.spec) == tier::batch &&
+                                 chosen.reserved_for != no_handle &&
+                                 chosen.reserved_for != place;
+    action start = job_action(action_type::start, job);
+    start.task.index = index;
+    start.worker = chosen.spec.id;
+    start.token = bookings_[booked].token;
+    start.size = job.size;
+    start.run_time = job.spec.run_time;
+    out_.push_back(std::move(start));
+}
+
+} // namespace coltsfootrack::placement
--- /dev/null
+++ b/src/placement/core_usage.cpp
@@ -0,0 +1,103 @@
+// Reported usage: what is booked follows it upwards, and downwards only if the
+// options say so.
+
+#include "scheduler_core.hpp"
+
+#include "fit.hpp"
+
+#include <algorithm>
+#include <fmt/core.h>
+
+namespace coltsfootrack::placement
+{
+
+bool scheduler::core::report_usage(const base::task_id& task,
+                                   std::string_view token,
+                                   const base::resources& usage,
+                                   base::time_point now)
+{
+    now_ = std::max(now_, now);
+    const handle place = find_booking(task, token);
+    if (place == no_handle || !usage.is_valid())
+    {
+        return false;
+    }
+    booking& booked = bookings_[place];
+    job_record& job = jobs_[booked.job];
+    base::resources wanted = base::component_max(booked.declared, usage);
+    if (options_.reclaim_unused && job.spec.kind != job_kind::service &&
+        !job.spec.urgent)
+    {
+        const std::int64_t percent = 100 + options_.reclaim_margin_percent;
+        const base::resources padded{usage.cpu_milli * percent / 100,
+                                     usage.memory_mb * percent / 100, 0};
+        wanted = base::component_max(
+            usage, base::component_min(booked.declared, padded));
+    }
+    // Accelerators are whole devices that the worker assigns.
+    wanted.accelerators = booked.size.accelerators;
+    if (wanted == booked.size)
+    {
+        return true;
+    }
+    if (booked.throttled && usage.cpu_milli <= booked.size.cpu_milli)
+    {
+        booked.throttled = false;
+    }
+    const worker_record& worker = fleet_[booked.worker];
+    const team_record& team = teams_[booked.team];
+    const base::resources room =
+        base::component_min(positive(worker.spec.capacity - worker.booked),
+                            positive(team.slice - team.used));
+    const base::resources most = booked.size + room;
+    const base::resources granted = base::component_min(wanted, most);
+    if (granted != booked.size)
+    {
+        resize(booked, granted);
+    }
+    if (wanted.memory_mb > granted.memory_mb)
+    {
+        // Memory cannot be taken back from a running task.
+        raise_size(booked.job, wanted);
+        request_stop(place, stop_reason::over_size, options_.stop_grace, false);
+    }
+    else if (wanted.cpu_milli > granted.cpu_milli && !booked.throttled &&
+             !booked.stopping)
+    {
+        booked.throttled = true;
+        action throttle = job_action(action_type::throttle, job);
+        throttle.task.index = booked.index;
+        throttle.worker = worker.spec.id;
+        throttle.token = booked.token;
+        throttle.size = booked.size;
+        notices_.push_back(std::move(throttle));
+    }
+    return true;
+}
+
+void scheduler::core::raise_size(handle place, const base::resources& usage)
+{
+    job_record& job = jobs_[place];
+    base::resources raised = job.size;
+    raised.memory_mb = std::max(raised.memory_mb, usage.memory_mb);
+    if (raised == job.size || job.ending || job.implicit)
+    {
+        return;
+    }
+    if (const absl::Status status =
+            check_possible(job.spec, raised, teams_[job.team]);
+        !status.ok())
+    {
+        condemn(place,
+                fmt::format("a task used {}, which can never be given: {}",
+                            base::to_string(usage),
+                            std::string(status.message())));
+        return;
+    }
+    drop_holds(place, job.holds);
+    drop_reservation(place);
+    job.size = raised;
+    update_queue(place);
+}
+
+} // namespace coltsfootrack::placement
--- /dev/null
+++ b/src/placement/fleet.hpp
@@ -0,0 +1,112 @@
+#ifndef COLTSFOOTRACK_PLACEMENT_FLEET_HPP_INCLUDED
+#define COLTSFOOTRACK_PLACEMENT_FLEET_HPP_INCLUDED
+
+#include "handle.hpp"
+#include "worker_query.hpp"
+#include "worker_record.hpp"
+#include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/base/resources.hpp>
+#include <coltsfootrack/placement/worker_spec.hpp>
+
+#include <absl/container/flat_hash_map.h>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace coltsfootrack::placement
+{
+
+// The workers of the zone and the search for one.
+//
+// A search reads every worker. At the design size that takes about a
+// microsecond or two, and there is no index that could disagree with the
+// bookings.
+//
+// Limits: one record per worker of the platform's list.
+// Thread safety: none.
+class fleet
+{
+public:
+    // Adds a worker or updates the rack and capacity of a known one.
+    handle add(const worker_spec& spec);
+    void remove(handle worker);
+    // The worker with the id, or no_handle.
+    handle find(const base::worker_id& id) const;
+
+    worker_record& operator[](handle worker)
+    {
+        return workers_[worker];
+    }
+
+    const worker_record& operator[](handle worker) const
+    {
+        return workers_[worker];
+    }
+
+    // One more than the highest handle; records in between may be unknown.
+    handle end() const
+    {
+        return static_cast<handle>(workers_.size());
+    }
+
+    std::size_t size() const
+    {
+        return by_id_.size();
+    }
+
+    std::size_t racks() const
+    {
+        return racks_.size();
+    }
+
+    // The capacity of all live workers.
+    const base::resources& capacity() const
+    {
+        return capacity_;
+    }
+
+    // The largest amount of each resource that one worker has.
+    const base::resources& largest() const
+    {
+        return largest_;
+    }
+
+    // Recomputes the totals after a change of a worker's state.
+    void update_totals();
+
+    // Changes what is booked or held on a worker.
+    void book(handle worker, const base::resources& size);
+    void hold(handle worker, const base::resources& size);
+
+    // What the query may use of the worker; false if the worker is not
+    // eligible at all.
+    bool room(const worker_record& worker, const worker_query& query,
+              base::resources& result) const;
+
+    // The best worker that holds one task: plain workers before accelerator
+    // workers for tasks without accelerators, racks with fewer tasks of the
+    // job first if they are spread, then the tightest and most even fit, then
+    // the lowest id. no_handle if none holds it.
+    handle best(const worker_query& query) const;
+
+    // Whether room for the given number of tasks exists.
+    bool holds_all(const worker_query& query, std::int64_t tasks) const;
+
+    // Whether empty workers could hold the tasks, each on one worker.
+    bool could_hold(const base::resources& size, std::int64_t tasks) const;
+
+private:
+    double score(const worker_record& worker, const worker_query& query) const;
+
+    std::vector<worker_record> workers_;
+    std::vector<handle> unused_;
+    absl::flat_hash_map<base::worker_id, handle> by_id_;
+    absl::flat_hash_map<base::rack_id, std::uint32_t> racks_;
+    base::resources capacity_;
+    base::resources largest_;
+    std::uint64_t next_serial_ = 1;
+};
+
+} // namespace coltsfootrack::placement
+
+#endif
--- /dev/null
+++ b/src/placement/reservation.hpp
@@ -0,0 +1,24 @@
+#ifndef COLTSFOOTRACK_PLACEMENT_RESERVATION_HPP_INCLUDED
+#define COLTSFOOTRACK_PLACEMENT_RESERVATION_HPP_INCLUDED
+
+#include "handle.hpp"
+#include <coltsfootrack/base/clock.hpp>
+
+#include <vector>
+
+namespace coltsfootrack::placement
+{
+
+// Workers on which room is kept for a gang or a large task that waits.
+struct reservation
+{
+    handle job = no_handle;
+    std::vector<handle> workers;
+    base::time_point planned;
+    // When the job is expected to start, by the declared run times.
+    base::time_point expected_start;
+};
+
+} // namespace coltsfootrack::placement
+
+#endif
--- /dev/null
+++ b/src/placement/shape_key.hpp
@@ -0,0 +1,55 @@
+#ifndef COLTSFOOTRACK_PLACEMENT_SHAPE_KEY_HPP_INCLUDED
+#define COLTSFOOTRACK_PLACEMENT_SHAPE_KEY_HPP_INCLUDED
+
+#include "tier.hpp"
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/resources.hpp>
+
+#include <cstdint>
+#include <tuple>
+#include <utility>
+
+namespace coltsfootrack::placement
+{
+
+// All that decides whether a worker search for a job succeeds. Jobs with equal
+// keys succeed or fail together, so a failed search is not repeated for them.
+struct shape_key
+{
+    base::resources size;
+    base::duration run_time{};
+    // The tasks of a gang that wait; 0 for other jobs.
+    std::uint32_t gang_tasks = 0;
+    tier level = tier::batch;
+    // Exclusive tasks are not tried on workers on probation.
+    bool exclusive = false;
+    // The sequence number of a job that avoids workers or has room kept for
+    // it, which no other job shares; otherwise 0.
+    std::uint64_t own_sequence = 0;
+
+    friend bool operator==(const shape_key& a, const shape_key& b)
+    {
+        return std::tie(a.size, a.run_time, a.gang_tasks, a.level, a.exclusive,
+                        a.own_sequence) ==
+               std::tie(b.size, b.run_time, b.gang_tasks, b.level, b.exclusive,
+                        b.own_sequence);
+    }
+
+    friend bool operator!=(const shape_key& a, const shape_key& b)
+    {
+        return !(a == b);
+    }
+
+    template <typename H>
+    friend H AbslHashValue(H state, const shape_key& key) // NOLINT
+    {
+        return H::combine(std::move(state), key.size.cpu_milli,
+                          key.size.memory_mb, key.size.accelerators,
+                          key.run_time.count(), key.gang_tasks, key.level,
+                          key.exclusive, key.own_sequence);
+    }
+};
+
+} // namespace coltsfootrack::placement
+
+#endif
