--- a/include/coltsfootrack/routing/request_flow.hpp
+++ b/include/coltsfootrack/routing/request_flow.hpp
@@ -32,9 +32,9 @@
 // - Sending again after a failure takes a token of the retry budget and counts
 //   towards max_attempts; it follows a jittered pause, except after a refusal
 //   as leaving.
-// - Sending again after a refusal as full takes none: at 90% load a third of
-//   the sendings are refused on a healthy service, and each refusal keeps the
-//   runner out of the router's view for a while. After three refusals
+// - Sending again after a refusal as full takes none: at 90% load a third to a
+//   half of the sendings are refused on a healthy service, and each refusal
+//   keeps the runner out of the router's view for a while. After three refusals
 //   without a wait the request waits for a short pause.
 // - Waiting for a free slot takes no token, since nothing is sent.
 // - "Did not run" is stated only if every attempt proved it.
--- a/include/coltsfootrack/routing/router_options.hpp
+++ b/include/coltsfootrack/routing/router_options.hpp
@@ -21,10 +21,12 @@
     // Within this time a runner's report of slots used by other daemons loses
     // its weight to the average of the service, and within the same time again
     // the average does, so that a runner never stays full in the view for
-    // longer. At 200 ms 44% of the simulated sendings are refused instead of
-    // 31% (35 runners at 90% load); up to 5 s little changes.
+    // longer. At 200 ms 42% of the simulated sendings are refused instead of
+    // 32% (8 daemons, 35 runners, 90% load); up to 5 s little changes.
     base::duration view_lifetime = std::chrono::milliseconds(1000);
-    // Connection failures in a row after which a runner is suspected.
+    // Connection failures in a row after which a runner is suspected: no
+    // connection, or a cut answer. Time-outs do not count, since a slow request
+    // proves nothing about the runner.
     std::uint32_t suspicion_failures = 3;
     // The pause before a suspected runner gets one request as a probe. It
     // doubles with each failed probe up to the second value.
