--- a/include/coltsfootrack/routing/request_flow.hpp
+++ b/include/coltsfootrack/routing/request_flow.hpp
@@ -82,9 +82,11 @@
     // Attempts that ended or were in flight at the end.
     std::uint32_t attempts() const;
 
-    // Whether every attempt so far is proved not to have run. The idempotency
-    // row is released after the final step if so, and kept as unknown if not,
-    // unless the final step has no error.
+    // Whether every attempt so far is proved not to have run. After the final
+    // step a row that was claimed for the request is released if so, and kept
+    // as unknown if not, unless the final step has no error. If the deadline
+    // passed during the claim, its commit may still take effect; the row is
+    // released when the outcome of the commit is known.
     bool proved_not_run() const;
 
 private:
