--- a/include/coltsfootrack/routing/request_flow.hpp
+++ b/include/coltsfootrack/routing/request_flow.hpp
@@ -32,9 +32,9 @@
 // - Sending again after a failure takes a token of the retry budget and counts
 //   towards max_attempts; it follows a jittered pause, except after a refusal
 //   as leaving.
-// - Sending again after a refusal as full takes none: at 90% load a third of
-//   the sendings are refused on a healthy service, and each refusal keeps the
-//   runner out of the router's view for a while. After three refusals
+// - Sending again after a refusal as full takes none: at 90% load a third to a
+//   half of the sendings are refused on a healthy service, and each refusal
+//   keeps the runner out of the router's view for a while. After three refusals
 //   without a wait the request waits for a short pause.
 // - Waiting for a free slot takes no token, since nothing is sent.
 // - "Did not run" is stated only if every attempt proved it.
@@ -82,9 +82,11 @@
     // Attempts that ended or were in flight at the end.
     std::uint32_t attempts() const;
 
-    // Whether every attempt so far is proved not to have run. The idempotency
-    // row is released after the final step if so, and kept as unknown if not,
-    // unless the final step has no error.
+    // Whether every attempt so far is proved not to have run. After the final
+    // step a row that was claimed for the request is released if so, and kept
+    // as unknown if not, unless the final step has no error. If the deadline
+    // passed during the claim, its commit may still take effect; the row is
+    // released when the outcome of the commit is known.
     bool proved_not_run() const;
 
 private:
