Read the VM list conditionally and save a read per submission

Cause: measured traffic per daemon grew by 0.29 KB/s for each worker of a zone and reached 29.8 KB/s at 288 workers; the whole VM list was read every 2 s. A start cost 5.5 KB, part of it a read before each submission. Ruled out: longer intervals; a leaving VM must get nothing after a few seconds. Deltas through peers: more messages and state for the same effect. Change: the list is read with its entity tag; submissions commit first and read only on a conflict; an unchanged list is not arranged again.

--- a/include/coltsfootrack/daemon/daemon_process.hpp
+++ b/include/coltsfootrack/daemon/daemon_process.hpp
@@ -94,6 +94,7 @@
     request_api requests_;
     job_api jobs_;
     std::shared_ptr<zone_scheduler> scheduler_;
+    std::vector<store::vm_entry> listed_vms_;
     std::map<base::daemon_id, base::zone_id> peer_zones_;
     std::map<base::daemon_id, base::time_point> heard_;
     std::map<base::daemon_id, wire::peer_address> discovered_;
--- a/include/coltsfootrack/daemon/job_api.hpp
+++ b/include/coltsfootrack/daemon/job_api.hpp
@@ -60,6 +60,9 @@
     http::response refuse(const absl::Status& error);
     absl::StatusOr<job_record> read_submission(const http::request& message);
     absl::StatusOr<base::zone_id> choose_zone(const placement::job_spec& spec);
+    // Answers the submission of an id that exists.
+    http::response answer_repeated(const std::string& id,
+                                   const job_record& record);
     absl::StatusOr<found_job> find(const std::string& id);
     absl::Status check_team(const base::team_id& team,
                             const http::request& message);
--- a/include/coltsfootrack/daemon/request_api.hpp
+++ b/include/coltsfootrack/daemon/request_api.hpp
@@ -18,6 +18,7 @@
 
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace coltsfootrack::daemon
@@ -65,6 +66,9 @@
     store_session& store_;
     std::mutex random_mutex_;
     base::random_source random_;
+    std::mutex services_mutex_;
+    // The services that have runners.
+    std::set<base::service_id> services_;
     routing::router router_;
     routing::retry_budget budget_;
     routing::attempt_table attempts_;
--- a/src/daemon/daemon_endpoints.cpp
+++ b/src/daemon/daemon_endpoints.cpp
@@ -178,8 +178,8 @@
     }
     http::response answer = ask_control(
         loop_, ticket_limit,
-        [this, &change, copy = *change](reply_function reply)
-        { config_.apply_ticket(copy, std::move(reply)); },
+        [this, copy = *change](const reply_function& reply)
+        { config_.apply_ticket(copy, reply); },
         late_answer(base::error_kind::outcome_unknown));
     if (answer.status == 503 &&
         base::kind_of(http::error_of(answer)) == base::error_kind::not_owner &&
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -261,11 +261,16 @@
 
 void daemon_process::on_vm_list(const store::vm_list& list)
 {
+    ownership_.on_vm_list(list);
+    config_.on_vm_list(list);
+    if (list.vms == listed_vms_)
+    {
+        return;
+    }
+    listed_vms_ = list.vms;
     auto directory = std::make_shared<const vm_directory>(list);
     published_.set_directory(directory);
     requests_.set_directory(*directory);
-    ownership_.on_vm_list(list);
-    config_.on_vm_list(list);
     if (scheduler_)
     {
         scheduler_->on_vm_list();
--- a/src/daemon/job_api.cpp
+++ b/src/daemon/job_api.cpp
@@ -175,6 +175,18 @@
     {
         return fields;
     }
+    const std::string key(message.headers.value("Idempotency-Key"));
+    if (record.spec.id.empty() && !key.empty())
+    {
+        // A repeated submission finds the job of the first one.
+        const std::string id = workload->team.text() + "." + key;
+        if (!is_plain(id))
+        {
+            return invalid("Idempotency-Key: letters, digits, '-', '_' or '.', "
+                           "with the team's name at most 99 characters");
+        }
+        record.spec.id = base::job_id(id);
+    }
     if (record.spec.id.empty())
     {
         record.spec.id = base::job_id(base::hex_token(base::system_random()));
@@ -267,21 +279,6 @@
         return refuse(record.status());
     }
     const std::string id = record->spec.id.text();
-    const auto known = find(id);
-    if (known.ok())
-    {
-        if (known->record.spec != record->spec)
-        {
-            return refuse(base::make_error(base::error_kind::already_exists,
-                                           "job " + id));
-        }
-        return http::json_response(200,
-                                   describe(known->zone, id, known->record));
-    }
-    if (base::kind_of(known.status()) != base::error_kind::not_found)
-    {
-        return refuse(known.status());
-    }
     const auto zone = choose_zone(record->spec);
     if (!zone.ok())
     {
@@ -295,8 +292,7 @@
     const auto outcome = commit_and_wait(*store_.table(), std::move(change));
     if (outcome.result == store::commit_outcome::result::conflict)
     {
-        return refuse(
-            base::make_error(base::error_kind::already_exists, "job " + id));
+        return answer_repeated(id, *record);
     }
     if (!outcome.committed())
     {
@@ -307,6 +303,22 @@
     return http::json_response(202, describe(*zone, id, *record));
 }
 
+http::response job_api::answer_repeated(const std::string& id,
+                                        const job_record& record)
+{
+    const auto known = find(id);
+    if (!known.ok())
+    {
+        return refuse(known.status());
+    }
+    if (known->record.spec != record.spec)
+    {
+        return refuse(
+            base::make_error(base::error_kind::already_exists, "job " + id));
+    }
+    return http::json_response(200, describe(known->zone, id, known->record));
+}
+
 absl::StatusOr<job_api::found_job> job_api::find(const std::string& id)
 {
     if (!is_plain(id))
--- a/src/daemon/request_api.cpp
+++ b/src/daemon/request_api.cpp
@@ -125,9 +125,18 @@
 
 void request_api::set_directory(const vm_directory& directory)
 {
+    const std::lock_guard<std::mutex> lock(services_mutex_);
+    std::set<base::service_id> gone = std::move(services_);
+    services_.clear();
     for (const auto& [service, runners] : directory.runners())
     {
         router_.set_runners(service, runners, clock_.now());
+        services_.insert(service);
+        gone.erase(service);
+    }
+    for (const base::service_id& service : gone)
+    {
+        router_.set_runners(service, {}, clock_.now());
     }
 }
 
--- a/src/store/table_client.cpp
+++ b/src/store/table_client.cpp
@@ -128,11 +128,26 @@
             sent_at);
     }
 
+    // For the reads thread only. The platform answers 304 while the list has
+    // not changed, because the whole list of the design size, read every 2 s,
+    // would take several times the control traffic of a daemon.
     absl::StatusOr<vm_list> vm_list_now()
     {
         const base::time_point sent_at = clock_.now();
-        return vm_list_answer_of(
-            http_.send(options_.platform, vm_list_request()), sent_at);
+        const http::client_result result =
+            http_.send(options_.platform, vm_list_request(list_tag_));
+        if (result.ok() && result.answer.status == 304 && list_)
+        {
+            list_->sent_at = sent_at;
+            return *list_;
+        }
+        auto list = vm_list_answer_of(result, sent_at);
+        if (list.ok())
+        {
+            list_ = *list;
+            list_tag_ = std::string(result.answer.headers.value("ETag"));
+        }
+        return list;
     }
 
     bool fenced() const
@@ -341,6 +356,9 @@
     token_bucket write_budget_;
     token_bucket read_budget_;
     absl::flat_hash_map<std::uint64_t, commit_callback> callbacks_;
+    // The last VM list and its entity tag; used by the reads thread.
+    std::optional<vm_list> list_;
+    std::string list_tag_;
     std::uint64_t last_id_ = 0;
     std::deque<std::function<void(bool)>> reads_;
     bool submitted_ = false;
--- a/src/store/table_protocol.cpp
+++ b/src/store/table_protocol.cpp
@@ -109,10 +109,14 @@
     return post("/v1/table/read", {{"keys", keys}, {"prefixes", prefixes}});
 }
 
-http::request vm_list_request()
+http::request vm_list_request(const std::string& known_tag)
 {
     http::request message;
     message.path = "/v1/vms";
+    if (!known_tag.empty())
+    {
+        message.headers.add("If-None-Match", known_tag);
+    }
     return message;
 }
 
--- a/src/store/table_protocol.hpp
+++ b/src/store/table_protocol.hpp
@@ -21,7 +21,9 @@
 http::request commit_request(const mutation& content);
 http::request read_request(const std::vector<std::string>& keys,
                            const std::vector<std::string>& prefixes);
-http::request vm_list_request();
+// The request for the VM list. With the entity tag of a known list the answer
+// is 304 if the list has not changed.
+http::request vm_list_request(const std::string& known_tag);
 
 // What a commit's result proves. Any answer that is not of the documented form
 // counts as lost.
--- a/test/standins/platform/platform.cpp
+++ b/test/standins/platform/platform.cpp
@@ -4,6 +4,8 @@
 
 #include <coltsfootrack/http/json_response.hpp>
 
+#include <fmt/core.h>
+
 #include <chrono>
 
 namespace coltsfootrack::standins
@@ -82,7 +84,7 @@
     {
         ++total_.reads;
         ++this_second().reads;
-        reply(current, 200, {{"vms", vms_}});
+        handle_vms(current);
     }
     else if (message.path.rfind(object_path, 0) == 0)
     {
@@ -137,6 +139,14 @@
     reply(current, result.status, result.body);
 }
 
+void platform::handle_vms(const std::shared_ptr<exchange>& current)
+{
+    const std::string tag = fmt::format("\"{}\"", vms_version_);
+    const bool known = current->message.headers.value("If-None-Match") == tag;
+    reply(current, known ? 304 : 200,
+          known ? nlohmann::json() : nlohmann::json({{"vms", vms_}}), tag);
+}
+
 void platform::handle_object(const std::shared_ptr<exchange>& current)
 {
     const std::string name = current->message.path.substr(object_path.size());
@@ -163,9 +173,17 @@
 }
 
 void platform::reply(const std::shared_ptr<exchange>& current, int status,
-                     const nlohmann::json& body)
+                     const nlohmann::json& body, const std::string& tag)
 {
     http::response answer = http::json_response(status, body);
+    if (status == 304)
+    {
+        answer.body.clear();
+    }
+    if (!tag.empty())
+    {
+        answer.headers.add("ETag", tag);
+    }
     total_.bytes_out += answer.body.size();
     this_second().bytes_out += answer.body.size();
     const auto slow = span_of(faults_, "slow_ms");
@@ -229,7 +247,12 @@
 {
     const std::chrono::milliseconds lag(body.value("lag_ms", 0));
     const nlohmann::json list = body.value("vms", nlohmann::json::array());
-    loop_.after(lag, [this, list] { vms_ = list; });
+    loop_.after(lag,
+                [this, list]
+                {
+                    vms_ = list;
+                    ++vms_version_;
+                });
 }
 
 platform::second_counts& platform::this_second()
--- a/test/standins/platform/platform.hpp
+++ b/test/standins/platform/platform.hpp
@@ -51,7 +51,8 @@
     void handle_object(const std::shared_ptr<exchange>& current);
     // Answers after the configured delay.
     void reply(const std::shared_ptr<exchange>& current, int status,
-               const nlohmann::json& body);
+               const nlohmann::json& body, const std::string& tag = {});
+    void handle_vms(const std::shared_ptr<exchange>& current);
     void set_vms(const nlohmann::json& body);
     nlohmann::json counts() const;
     second_counts& this_second();
@@ -61,6 +62,7 @@
     table table_;
     std::map<std::string, std::string> objects_;
     nlohmann::json vms_ = nlohmann::json::array();
+    std::uint64_t vms_version_ = 0;
     nlohmann::json faults_;
     std::uint64_t commit_count_ = 0;
     event_loop::clock::time_point start_ = event_loop::clock::now();
