--- a/src/store/commit_stream.cpp
+++ b/src/store/commit_stream.cpp
@@ -1,4 +1,7 @@
-// The decisions of the commit stream; see section 3.2 of the design.
+// What a commit stream sends, and what answers to commits mean; see section 3.2
+// of the design.
+
+#include "outcomes.hpp"
 
 #include <coltsfootrack/base/error_kind.hpp>
 #include <coltsfootrack/base/hex_token.hpp>
@@ -14,25 +17,8 @@
 {
 
 using base::error_kind;
-using outcome_kind = decltype(commit_outcome::result);
-
 constexpr std::size_t no_limit = std::numeric_limits<std::size_t>::max();
 
-commit_outcome unavailable(error_kind reason)
-{
-    return {outcome_kind::unavailable, 0, {}, reason};
-}
-
-commit_outcome unknown()
-{
-    return {outcome_kind::unknown, 0, {}, error_kind::outcome_unknown};
-}
-
-commit_outcome committed(version sequence)
-{
-    return {outcome_kind::committed, sequence, {}, error_kind::internal};
-}
-
 // The keys of the mutation's conditions that are among the failed ones.
 std::vector<std::string> conflicts_of(const mutation& change,
                                       const std::vector<std::string>& failed)
@@ -263,8 +249,7 @@
         }
         else
         {
-            report(each, {outcome_kind::conflict, 0, std::move(keys),
-                          error_kind::store_conflict});
+            report(each, conflict(std::move(keys)));
         }
     }
     const bool explained =
@@ -312,120 +297,6 @@
     back_off(now);
 }
 
-void commit_stream::session_read(
-    const absl::StatusOr<std::optional<row>>& answer, base::time_point now)
-{
-    if (!answer.ok())
-    {
-        back_off(now);
-        return;
-    }
-    if (phase_ == phase::first_read)
-    {
-        adopt_former_row(*answer);
-        return;
-    }
-    resolve(*answer, now);
-}
-
-// Starts the registration: the row of the former incarnation is replaced.
-void commit_stream::adopt_former_row(const std::optional<row>& found)
-{
-    sent_.reset();
-    barrier_.reset();
-    session_version_ = found ? found->version : 0;
-    session_token_.clear();
-    if (found)
-    {
-        const auto former = session_row::from_json(found->value);
-        if (former.ok() && former->incarnation == options_.session.incarnation)
-        {
-            lose_session(*former);
-            return;
-        }
-        session_token_ = former.ok() ? former->token : std::string();
-    }
-    predecessor_ = session_token_;
-    phase_ = phase::ready;
-}
-
-void commit_stream::resolve(const std::optional<row>& found,
-                            base::time_point now)
-{
-    const version actual = found ? found->version : 0;
-    std::optional<session_row> session;
-    if (found)
-    {
-        const auto parsed = session_row::from_json(found->value);
-        if (parsed.ok())
-        {
-            session = *parsed;
-        }
-    }
-    if (actual == session_version_)
-    {
-        phase_ = sent_ ? phase::barrier : phase::ready;
-        if (!sent_)
-        {
-            back_off(now);
-        }
-        return;
-    }
-    if (session && !session->fenced)
-    {
-        for (const auto* done : {&sent_, &barrier_})
-        {
-            if (*done && (*done)->token == session->token)
-            {
-                applied(attempt(**done), actual);
-                return;
-            }
-        }
-    }
-    const bool own =
-        session && session->incarnation == options_.session.incarnation;
-    if (!registered_ && !own)
-    {
-        adopt_former_row(found);
-        return;
-    }
-    lose_session(session);
-}
-
-// The session was taken away. Whoever did so kept the token of the row that was
-// replaced, so the last commit in doubt can still be told apart.
-void commit_stream::lose_session(const std::optional<session_row>& found)
-{
-    if (sent_)
-    {
-        std::string last;
-        if (found)
-        {
-            last = found->incarnation == options_.session.incarnation
-                       ? found->token
-                       : found->predecessor;
-        }
-        const bool barrier_applied = barrier_ && last == barrier_->token;
-        if (last == sent_->token)
-        {
-            // The version of the rows cannot be read any more.
-            report_all(sent_->batch, committed(0));
-        }
-        else if (!last.empty() && (last == session_token_ || barrier_applied))
-        {
-            report_all(sent_->batch, unavailable(error_kind::fenced));
-        }
-        else
-        {
-            report_all(sent_->batch, unknown());
-        }
-    }
-    sent_.reset();
-    barrier_.reset();
-    phase_ = phase::fenced;
-    report_all(queue_.take_all(), unavailable(error_kind::fenced));
-}
-
 void commit_stream::expire(base::time_point now)
 {
     report_all(queue_.take_expired(now),
--- /dev/null
+++ b/src/store/session_resolution.cpp
@@ -0,0 +1,127 @@
+// What the session row tells a commit stream after a lost answer.
+
+#include "outcomes.hpp"
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/store/commit_stream.hpp>
+
+namespace coltsfootrack::store
+{
+
+using base::error_kind;
+
+void commit_stream::session_read(
+    const absl::StatusOr<std::optional<row>>& answer, base::time_point now)
+{
+    if (!answer.ok())
+    {
+        back_off(now);
+        return;
+    }
+    if (phase_ == phase::first_read)
+    {
+        adopt_former_row(*answer);
+        return;
+    }
+    resolve(*answer, now);
+}
+
+// Starts the registration: the row of the former incarnation is replaced.
+void commit_stream::adopt_former_row(const std::optional<row>& found)
+{
+    sent_.reset();
+    barrier_.reset();
+    session_version_ = found ? found->version : 0;
+    session_token_.clear();
+    if (found)
+    {
+        const auto former = session_row::from_json(found->value);
+        if (former.ok() && former->incarnation == options_.session.incarnation)
+        {
+            lose_session(*former);
+            return;
+        }
+        session_token_ = former.ok() ? former->token : std::string();
+    }
+    predecessor_ = session_token_;
+    phase_ = phase::ready;
+}
+
+void commit_stream::resolve(const std::optional<row>& found,
+                            base::time_point now)
+{
+    const version actual = found ? found->version : 0;
+    std::optional<session_row> session;
+    if (found)
+    {
+        const auto parsed = session_row::from_json(found->value);
+        if (parsed.ok())
+        {
+            session = *parsed;
+        }
+    }
+    if (actual == session_version_)
+    {
+        phase_ = sent_ ? phase::barrier : phase::ready;
+        if (!sent_)
+        {
+            back_off(now);
+        }
+        return;
+    }
+    if (session && !session->fenced)
+    {
+        for (const auto* done : {&sent_, &barrier_})
+        {
+            if (*done && (*done)->token == session->token)
+            {
+                applied(attempt(**done), actual);
+                return;
+            }
+        }
+    }
+    const bool own =
+        session && session->incarnation == options_.session.incarnation;
+    if (!registered_ && !own)
+    {
+        adopt_former_row(found);
+        return;
+    }
+    lose_session(session);
+}
+
+// The session was taken away. Whoever did so kept the token of the row that was
+// replaced, so the last commit in doubt can still be told apart.
+void commit_stream::lose_session(const std::optional<session_row>& found)
+{
+    if (sent_)
+    {
+        std::string last;
+        if (found)
+        {
+            last = found->incarnation == options_.session.incarnation
+                       ? found->token
+                       : found->predecessor;
+        }
+        const bool barrier_applied = barrier_ && last == barrier_->token;
+        if (last == sent_->token)
+        {
+            // The version of the rows cannot be read any more.
+            report_all(sent_->batch, committed(0));
+        }
+        else if (!last.empty() && (last == session_token_ || barrier_applied))
+        {
+            report_all(sent_->batch, unavailable(error_kind::fenced));
+        }
+        else
+        {
+            report_all(sent_->batch, unknown());
+        }
+    }
+    sent_.reset();
+    barrier_.reset();
+    phase_ = phase::fenced;
+    report_all(queue_.take_all(), unavailable(error_kind::fenced));
+}
+
+} // namespace coltsfootrack::store
--- a/test/store/table_client_test.cpp
+++ b/test/store/table_client_test.cpp
@@ -1,19 +1,16 @@
 // Tests of the table client against the platform stand-in, with its faults.
 
-#include "standins/support/child_process.hpp"
+#include "outcome_recorder.hpp"
+#include "test_platform.hpp"
 
 #include <coltsfootrack/base/error_kind.hpp>
 #include <coltsfootrack/base/system_clock.hpp>
-#include <coltsfootrack/http/client.hpp>
 #include <coltsfootrack/store/session_row.hpp>
 #include <coltsfootrack/store/table_client.hpp>
 
-#include <atomic>
-#include <condition_variable>
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
 #include <map>
-#include <mutex>
 #include <thread>
 
 namespace coltsfootrack::store
@@ -24,93 +21,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// The platform stand-in and requests to it from outside the client.
-class test_platform
-{
-public:
-    test_platform()
-        : process_("standin-platform", {}, 1)
-        , http_(http::client_options{})
-    {
-    }
-
-    std::string address() const
-    {
-        return process_.address();
-    }
-
-    nlohmann::json send(const std::string& method, const std::string& path,
-                        const nlohmann::json& body)
-    {
-        http::request message;
-        message.method = method;
-        message.path = path;
-        message.body = body.is_null() ? std::string() : body.dump();
-        const http::client_result result = http_.send(address(), message);
-        CPPUNIT_ASSERT(result.ok());
-        return nlohmann::json::parse(result.answer.body);
-    }
-
-    void set_faults(const nlohmann::json& faults)
-    {
-        send("POST", "/control/faults", faults);
-    }
-
-private:
-    standins::child_process process_;
-    http::client http_;
-};
-
-// The hooks' calls and the outcomes, in the order of their arrival.
-class recorder
-{
-public:
-    table_hooks hooks()
-    {
-        table_hooks made;
-        made.on_renewal = [this](base::time_point)
-        {
-            change([this] { ++renewals; });
-        };
-        made.on_fenced = [this]
-        {
-            change([this] { ++fencings; });
-        };
-        return made;
-    }
-
-    table_client::commit_callback outcome_of(const std::string& key)
-    {
-        return [this, key](const commit_outcome& outcome)
-        {
-            change([&] { outcomes[key].push_back(outcome); });
-        };
-    }
-
-    template <class Condition>
-    void wait_until(Condition condition)
-    {
-        std::unique_lock<std::mutex> lock(mutex_);
-        CPPUNIT_ASSERT(changed_.wait_for(lock, seconds(20), condition));
-    }
-
-    int renewals = 0;
-    int fencings = 0;
-    std::map<std::string, std::vector<commit_outcome>> outcomes;
-
-private:
-    template <class Change>
-    void change(Change apply)
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        apply();
-        changed_.notify_all();
-    }
-
-    std::mutex mutex_;
-    std::condition_variable changed_;
-};
-
 const base::system_clock clock;
 
 table_options options_for(const test_platform& platform)
@@ -158,7 +68,7 @@
     void submit_committed_rows_are_read_back()
     {
         test_platform platform;
-        recorder seen;
+        outcome_recorder seen;
         table_client table(options_for(platform), clock, base::seeded_random(1),
                            seen.hooks());
         CPPUNIT_ASSERT(table
@@ -201,7 +111,7 @@
     {
         test_platform platform;
         platform.set_faults({{"slow_ms", 20}});
-        recorder seen;
+        outcome_recorder seen;
         table_client table(options_for(platform), clock, base::seeded_random(1),
                            seen.hooks());
         std::vector<std::thread> threads;
@@ -240,7 +150,7 @@
     {
         test_platform platform;
         platform.send("PUT", "/control/history", {{"record", true}});
-        recorder seen;
+        outcome_recorder seen;
         table_options options = options_for(platform);
         options.call_timeout = milliseconds(100);
         options.mutation_timeout = milliseconds(400);
@@ -324,7 +234,7 @@
     void session_fenced_refuses_work_and_calls_hook()
     {
         test_platform platform;
-        recorder seen;
+        outcome_recorder seen;
         table_client table(options_for(platform), clock, base::seeded_random(1),
                            seen.hooks());
         seen.wait_until([&] { return seen.renewals > 0; });
@@ -357,8 +267,8 @@
     void session_of_former_incarnation_is_replaced()
     {
         test_platform platform;
-        recorder former;
-        recorder seen;
+        outcome_recorder former;
+        outcome_recorder seen;
         table_options options = options_for(platform);
         options.renewal_interval = milliseconds(100);
         table_client first(options, clock, base::seeded_random(1),
@@ -376,7 +286,7 @@
     void session_idle_is_renewed()
     {
         test_platform platform;
-        recorder seen;
+        outcome_recorder seen;
         table_options options = options_for(platform);
         options.renewal_interval = milliseconds(50);
         table_client table(options, clock, base::seeded_random(1),
@@ -388,7 +298,7 @@
     void budget_spent_refuses_reads_and_writes()
     {
         test_platform platform;
-        recorder seen;
+        outcome_recorder seen;
         table_options options = options_for(platform);
         options.writes_per_second = 10;
         options.reads_per_second = 5;
@@ -418,7 +328,7 @@
     void vm_list_is_parsed_and_malformed_is_refused()
     {
         test_platform platform;
-        recorder seen;
+        outcome_recorder seen;
         table_client table(options_for(platform), clock, base::seeded_random(1),
                            seen.hooks());
         const auto fetch = [&table]
@@ -468,7 +378,7 @@
     {
         test_platform platform;
         platform.set_faults({{"slow_ms", 30}});
-        recorder seen;
+        outcome_recorder seen;
         table_client table(options_for(platform), clock, base::seeded_random(1),
                            seen.hooks());
         for (int i = 0; i < 250; ++i)
@@ -496,7 +406,7 @@
     void stop_in_outage_ends_and_reports_all()
     {
         test_platform platform;
-        recorder seen;
+        outcome_recorder seen;
         table_client table(options_for(platform), clock, base::seeded_random(1),
                            seen.hooks());
         seen.wait_until([&] { return seen.renewals > 0; });
