--- a/test/system/request_load.cpp
+++ b/test/system/request_load.cpp
@@ -88,6 +88,7 @@
         }
     };
     std::vector<std::thread> pool;
+    pool.reserve(static_cast<std::size_t>(threads));
     for (int i = 0; i < threads; ++i)
     {
         pool.emplace_back(work);
