Test that a proof age is not passed on too early

Cause: with the peer's sequence ignored in rule 2 no directed test failed. A daemon that is behind would not be current itself, but would hand its peers the young age together with its older sequence. Change: the test of rule 2 also checks that there is no age before the sequence is in force.

--- a/test/coordination/config_freshness_test.cpp
+++ b/test/coordination/config_freshness_test.cpp
@@ -44,6 +44,8 @@
         const std::uint64_t round = state.begin_round(at(10000));
         state.answered({d("p"), round, 4, std::chrono::seconds(6), {}});
         CPPUNIT_ASSERT(!state.is_current(at(10100)));
+        // The age must not be passed on with the older sequence.
+        CPPUNIT_ASSERT(!state.age(at(10100)));
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), state.known_sequence());
         state.applied(4, at(10200));
         CPPUNIT_ASSERT(state.is_current(at(11700)));
