--- a/include/coltsfootrack/placement/scheduler_options.hpp
+++ b/include/coltsfootrack/placement/scheduler_options.hpp
@@ -40,6 +40,9 @@
     // The time after which room being freed for an urgent task is given up and
     // sought elsewhere.
     base::duration preemption_patience = std::chrono::milliseconds(2600);
+    // The grace of tasks of cancelled and condemned jobs. They save nothing,
+    // and a long grace would keep a full fleet from urgent work.
+    base::duration cancel_grace = std::chrono::seconds(2);
     // The grace of all other stops.
     base::duration stop_grace = std::chrono::seconds(10);
 
@@ -68,12 +71,18 @@
     // The pause before a failed task starts again; doubles with each failure
     // within the window, up to a minute.
     base::duration retry_pause = std::chrono::seconds(1);
+    // How long a failed task is kept off the worker on which it failed, if
+    // another worker could hold it.
+    base::duration avoid_time = std::chrono::seconds(30);
     // Failures of this many jobs quarantine a worker.
     std::size_t quarantine_jobs = 3;
     // The first quarantine; doubles each time, up to an hour.
     base::duration quarantine_time = std::chrono::minutes(2);
     // Tasks that a worker on probation must finish, one at a time.
     std::size_t probation_successes = 2;
+    // The longest probation. A worker that got no suitable task in that time
+    // is trusted again, since it may be the only one for other work.
+    base::duration probation_time = std::chrono::minutes(5);
     // The largest part of the workers in quarantine; one is always allowed.
     std::size_t max_quarantined_percent = 10;
 };
--- a/src/placement/core_bookings.cpp
+++ b/src/placement/core_bookings.cpp
@@ -64,6 +64,11 @@
     team.bookings.push_back(place);
     fleet_.book(worker, size);
     team.used += size;
+    if (size.accelerators > 0)
+    {
+        // Room that was kept for idle accelerators is open now.
+        room_changed();
+    }
     if (job.spec.rack_spread)
     {
         job.rack_tasks.resize(std::max(job.rack_tasks.size(), fleet_.racks()));
--- a/src/placement/core_health.cpp
+++ b/src/placement/core_health.cpp
@@ -69,7 +69,8 @@
     {
         return true;
     }
-    return failures >= options_.condemn_failures && !could_run_elsewhere(job);
+    return failures >= options_.condemn_failures &&
+           !could_run_elsewhere(job, index);
 }
 
 void scheduler::core::note_failure(handle place, const booking& failed,
@@ -174,7 +175,7 @@
         span *= 2;
     }
     worker.health = worker_health::quarantined;
-    worker.quarantined_until = now + std::min(span, longest_quarantine);
+    worker.health_until = now + std::min(span, longest_quarantine);
     worker.probation_finished = 0;
     ++worker.quarantines;
     ++totals_.quarantines;
@@ -184,22 +185,46 @@
 
 void scheduler::core::end_quarantines()
 {
-    for (std::size_t i = quarantined_.size(); i > 0; --i)
+    // Whether the phase of the worker is over, and the entry with it.
+    const auto ends = [this](const serial_handle& place, worker_health phase,
+                             worker_health next)
     {
-        const serial_handle place = quarantined_[i - 1];
         worker_record& worker = fleet_[place.place];
-        const bool gone = worker.serial != place.serial;
-        if (!gone && worker.quarantined_until > now_)
+        if (worker.serial != place.serial || worker.health != phase)
         {
-            continue;
+            return true;
+        }
+        if (worker.health_until > now_)
+        {
+            return false;
+        }
+        worker.health = next;
+        room_changed();
+        return true;
+    };
+    for (std::size_t i = on_probation_.size(); i > 0; --i)
+    {
+        if (ends(on_probation_[i - 1], worker_health::probation,
+                 worker_health::healthy))
+        {
+            on_probation_.erase(on_probation_.begin() +
+                                static_cast<std::ptrdiff_t>(i - 1));
         }
-        if (!gone)
+    }
+    for (std::size_t i = quarantined_.size(); i > 0; --i)
+    {
+        const serial_handle place = quarantined_[i - 1];
+        if (!ends(place, worker_health::quarantined, worker_health::probation))
         {
-            worker.health = worker_health::probation;
-            room_changed();
+            continue;
         }
         quarantined_.erase(quarantined_.begin() +
                            static_cast<std::ptrdiff_t>(i - 1));
+        if (fleet_[place.place].serial == place.serial)
+        {
+            fleet_[place.place].health_until = now_ + options_.probation_time;
+            on_probation_.push_back(place);
+        }
     }
 }
 
--- a/src/placement/core_preempt.cpp
+++ b/src/placement/core_preempt.cpp
@@ -106,19 +106,29 @@
     return true;
 }
 
+bool scheduler::core::ends_in_time(const booking& booked) const
+{
+    if (booked.chosen)
+    {
+        return true;
+    }
+    // A stop with a longer grace ends too late for urgent work, and one that
+    // is overdue is not counted on again.
+    const base::time_point end = booked.stopping_since + booked.grace;
+    return booked.stopping && end <= now_ + options_.preemption_grace &&
+           now_ - end <
+               options_.preemption_patience - options_.preemption_grace;
+}
+
 base::resources
 scheduler::core::room_after_stops(const worker_record& worker) const
 {
     base::resources room = worker.free;
     for (const handle place : worker.bookings)
     {
-        const booking& booked = bookings_[place];
-        // A stop that is not confirmed in time is not counted on again.
-        if (booked.chosen ||
-            (booked.stopping &&
-             now_ - booked.stopping_since < options_.preemption_patience))
+        if (ends_in_time(bookings_[place]))
         {
-            room += booked.size;
+            room += bookings_[place].size;
         }
     }
     return room;
@@ -129,12 +139,12 @@
 {
     const job_record& job = jobs_[place];
     const team_record& team = teams_[job.team];
-    base::resources room = headroom(team) + team.stopping;
-    for (const handle victim : chosen)
+    base::resources room = headroom(team);
+    for (const handle booked : team.bookings)
     {
-        if (bookings_[victim].team == job.team)
+        if (ends_in_time(bookings_[booked]))
         {
-            room += bookings_[victim].size;
+            room += bookings_[booked].size;
         }
     }
     if (holds(room, job.size))
@@ -178,6 +188,8 @@
         const worker_record& worker = fleet_[i];
         if (!worker.known || worker.state != worker_state::live ||
             worker.health != worker_health::healthy ||
+            (!job.spec.urgent && worker.reserved_for != no_handle &&
+             worker.reserved_for != place) ||
             !holds(worker.spec.capacity - worker.held, job.size))
         {
             continue;
--- a/src/placement/core_queue.cpp
+++ b/src/placement/core_queue.cpp
@@ -26,6 +26,7 @@
     key.run_time = job.spec.run_time;
     key.gang_tasks = job.spec.kind == job_kind::gang ? job.waiting.size() : 0;
     key.level = tier_of(job.spec);
+    key.service = job.spec.kind == job_kind::service;
     key.exclusive = job.spec.exclusive;
     key.own_sequence = !job.failures.empty() || job.reserved || job.holds > 0
                            ? job.sequence
--- a/src/placement/core_reserve.cpp
+++ b/src/placement/core_reserve.cpp
@@ -60,6 +60,10 @@
     job_record& job = jobs_[place];
     const std::int64_t tasks =
         job.spec.kind == job_kind::gang ? job.waiting.size() : 1;
+    // Room that the search would not use must not be kept.
+    const bool spares_accelerators = options_.keep_accelerators &&
+                                     job.size.accelerators == 0 &&
+                                     fleet_.plain_could_hold(job.size);
     std::int64_t total = 0;
     events_.clear();
     rooms_.assign(fleet_.end(), {});
@@ -70,7 +74,8 @@
         if (!worker.known || worker.state != worker_state::live ||
             worker.health != worker_health::healthy ||
             worker.reserved_for != no_handle ||
-            !holds(worker.spec.capacity, job.size))
+            !holds(worker.spec.capacity, job.size) ||
+            (spares_accelerators && worker.spec.capacity.accelerators > 0))
         {
             continue;
         }
--- a/src/placement/core_start.cpp
+++ b/src/placement/core_start.cpp
@@ -11,18 +11,22 @@
 namespace coltsfootrack::placement
 {
 
-bool scheduler::core::could_run_elsewhere(const job_record& job) const
+bool scheduler::core::could_run_elsewhere(const job_record& job,
+                                          std::uint32_t index) const
 {
-    std::int64_t tasks =
-        job.spec.kind == job_kind::gang ? job.waiting.size() : 1;
+    const bool gang = job.spec.kind == job_kind::gang;
+    std::int64_t tasks = gang ? job.spec.task_count - job.finished : 1;
     for (handle place = 0; place < fleet_.end() && tasks > 0; ++place)
     {
         const worker_record& worker = fleet_[place];
         if (worker.known && worker.state == worker_state::live &&
             worker.health == worker_health::healthy &&
             std::none_of(job.failures.begin(), job.failures.end(),
-                         [&worker](const task_failure& failure)
-                         { return failure.worker_serial == worker.serial; }))
+                         [&](const task_failure& failure)
+                         {
+                             return failure.worker_serial == worker.serial &&
+                                    (gang || failure.index == index);
+                         }))
         {
             tasks -= times_in(worker.spec.capacity, job.size, tasks);
         }
@@ -30,6 +34,32 @@
     return tasks <= 0;
 }
 
+std::vector<std::uint64_t>
+scheduler::core::workers_to_avoid(const job_record& job) const
+{
+    // After some time the worker is tried again, since it may have the only
+    // room that ever becomes free.
+    std::vector<std::uint64_t> workers;
+    if (job.failures.empty() || job.waiting.empty())
+    {
+        return workers;
+    }
+    const std::uint32_t index = job.waiting.lowest();
+    for (const task_failure& failure : job.failures)
+    {
+        if ((failure.index == index || job.spec.kind == job_kind::gang) &&
+            now_ - failure.when < options_.avoid_time)
+        {
+            workers.push_back(failure.worker_serial);
+        }
+    }
+    if (!workers.empty() && !could_run_elsewhere(job, index))
+    {
+        workers.clear();
+    }
+    return workers;
+}
+
 worker_query scheduler::core::query_of(handle place) const
 {
     const job_record& job = jobs_[place];
@@ -45,15 +75,14 @@
     query.allows_probation = level == tier::batch &&
                              job.spec.kind == job_kind::batch &&
                              !job.spec.exclusive;
+    // A task that fits no other worker may use any accelerator VM.
     query.keeps_accelerators =
-        options_.keep_accelerators &&
+        options_.keep_accelerators && job.size.accelerators == 0 &&
+        fleet_.plain_could_hold(job.size) &&
         (level == tier::service ||
          (level == tier::batch &&
           (accelerators_wanted_ || accelerators_missing_)));
-    if (!job.failures.empty() && could_run_elsewhere(job))
-    {
-        query.avoid = &job.failures;
-    }
+    query.avoid = workers_to_avoid(job);
     if (job.spec.rack_spread)
     {
         query.rack_tasks = &job.rack_tasks;
--- a/src/placement/core_step.cpp
+++ b/src/placement/core_step.cpp
@@ -27,7 +27,7 @@
 bool scheduler::core::has_more() const
 {
     return more_ || !urgent_stops_.empty() || !stops_.empty() ||
-           !notices_.empty() || !endings_.empty();
+           !notices_.empty() || !endings_.empty() || !throttles_.empty();
 }
 
 std::vector<action> scheduler::core::step(base::time_point now,
@@ -39,17 +39,18 @@
     searches_ = 0;
     plans_ = 0;
     more_ = false;
+    // Room that has become free is used before a late hold is given up.
+    start_held();
     run_timers();
     // Urgent work comes before the stops of a cancellation wave.
-    emit_stops(urgent_stops_, max_actions_);
-    start_held();
+    emit_task_actions(action_type::stop, urgent_stops_, max_actions_);
     const bool pass = changed_ || now_ >= next_pass_;
     if (pass)
     {
         changed_ = false;
         accelerators_missing_ = false;
         run_tier(tier::urgent);
-        emit_stops(urgent_stops_, max_actions_);
+        emit_task_actions(action_type::stop, urgent_stops_, max_actions_);
     }
     emit_control();
     if (pass)
@@ -103,27 +104,30 @@
     }
 }
 
-void scheduler::core::emit_stops(std::deque<serial_handle>& stops,
-                                 std::size_t limit)
+void scheduler::core::emit_task_actions(action_type type,
+                                        std::deque<serial_handle>& queue,
+                                        std::size_t limit)
 {
-    while (!stops.empty() && out_.size() < limit)
+    while (!queue.empty() && out_.size() < limit)
     {
-        const serial_handle next = stops.front();
-        stops.pop_front();
+        const serial_handle next = queue.front();
+        queue.pop_front();
         const booking& booked = bookings_[next.place];
         if (booked.serial != next.serial)
         {
             continue;
         }
-        const job_record& job = jobs_[booked.job];
-        action stop = job_action(action_type::stop, job);
-        stop.task.index = booked.index;
-        stop.worker = fleet_[booked.worker].spec.id;
-        stop.token = booked.token;
-        stop.size = booked.size;
-        stop.grace = booked.grace;
-        stop.reason = booked.reason;
-        out_.push_back(std::move(stop));
+        action decided = job_action(type, jobs_[booked.job]);
+        decided.task.index = booked.index;
+        decided.worker = fleet_[booked.worker].spec.id;
+        decided.token = booked.token;
+        decided.size = booked.size;
+        if (type == action_type::stop)
+        {
+            decided.grace = booked.grace;
+            decided.reason = booked.reason;
+        }
+        out_.push_back(std::move(decided));
     }
 }
 
@@ -141,7 +145,7 @@
             request_stop(next.place,
                          jobs_[booked.job].condemned ? stop_reason::condemned
                                                      : stop_reason::cancelled,
-                         options_.stop_grace, false);
+                         options_.cancel_grace, false);
         }
     }
 }
@@ -157,7 +161,8 @@
         notices_.pop_front();
     }
     stop_endings();
-    emit_stops(stops_, limit);
+    emit_task_actions(action_type::throttle, throttles_, limit);
+    emit_task_actions(action_type::stop, stops_, limit);
 }
 
 void scheduler::core::run_tier(tier level)
@@ -264,14 +269,14 @@
     {
         return job.spec.urgent && plan();
     }
-    if (group.failed_at != room_state_)
+    if (group.failed_at != room_state_ || now_ >= group.retry_at)
     {
         if (failed_state_ != room_state_)
         {
             failed_searches_.clear();
             failed_state_ = room_state_;
         }
-        if (!failed_searches_.contains(group.key))
+        if (!job.failures.empty() || !failed_searches_.contains(group.key))
         {
             if (searches_ >= options_.max_searches_per_step)
             {
@@ -286,6 +291,9 @@
             failed_searches_.insert(group.key);
         }
         group.failed_at = room_state_;
+        // Which workers a failed task avoids changes with the time.
+        group.retry_at = job.failures.empty() ? base::time_point::max()
+                                              : now_ + idle_pass_interval;
     }
     if (job.size.accelerators > 0)
     {
--- a/src/placement/core_usage.cpp
+++ b/src/placement/core_usage.cpp
@@ -65,12 +65,8 @@
              !booked.stopping)
     {
         booked.throttled = true;
-        action throttle = job_action(action_type::throttle, job);
-        throttle.task.index = booked.index;
-        throttle.worker = worker.spec.id;
-        throttle.token = booked.token;
-        throttle.size = booked.size;
-        notices_.push_back(std::move(throttle));
+        throttles_.push_back({place, booked.serial});
+        changed_ = true;
     }
     return true;
 }
--- a/src/placement/fleet.cpp
+++ b/src/placement/fleet.cpp
@@ -33,10 +33,9 @@
 
 bool avoids(const worker_query& query, std::uint64_t serial)
 {
-    return query.avoid != nullptr &&
-           std::any_of(query.avoid->begin(), query.avoid->end(),
-                       [serial](const task_failure& failure)
-                       { return failure.worker_serial == serial; });
+    return !query.avoid.empty() &&
+           std::find(query.avoid.begin(), query.avoid.end(), serial) !=
+               query.avoid.end();
 }
 
 } // namespace
@@ -232,6 +231,17 @@
     return tasks <= 0;
 }
 
+bool fleet::plain_could_hold(const base::resources& size) const
+{
+    return std::any_of(workers_.begin(), workers_.end(),
+                       [&size](const worker_record& worker)
+                       {
+                           return worker.known &&
+                                  worker.spec.capacity.accelerators == 0 &&
+                                  size.fits_in(worker.spec.capacity);
+                       });
+}
+
 bool fleet::could_hold(const base::resources& size, std::int64_t tasks) const
 {
     for (const worker_record& worker : workers_)
--- a/src/placement/fleet.hpp
+++ b/src/placement/fleet.hpp
@@ -92,6 +92,9 @@
     // Whether room for the given number of tasks exists.
     bool holds_all(const worker_query& query, std::int64_t tasks) const;
 
+    // Whether an empty worker without accelerators could hold the task.
+    bool plain_could_hold(const base::resources& size) const;
+
     // Whether empty workers could hold the tasks, each on one worker.
     bool could_hold(const base::resources& size, std::int64_t tasks) const;
 
--- a/src/placement/scheduler_core.hpp
+++ b/src/placement/scheduler_core.hpp
@@ -115,15 +115,20 @@
     // queue of the team has changed.
     bool try_team(handle team, tier level);
     bool try_job(handle job, shape_group& group);
-    void emit_stops(std::deque<serial_handle>& stops, std::size_t limit);
+    // Hands out the stops or throttles of tasks that still run.
+    void emit_task_actions(action_type type, std::deque<serial_handle>& queue,
+                           std::size_t limit);
     void emit_control();
     void stop_endings();
     bool is_full() const;
 
     // Search and start.
     worker_query query_of(handle job) const;
-    // Whether workers on which the job has not failed could hold it.
-    bool could_run_elsewhere(const job_record& job) const;
+    // Whether workers on which the task (for a gang: any task) has not failed
+    // could hold it.
+    bool could_run_elsewhere(const job_record& job, std::uint32_t index) const;
+    // The serial numbers of workers on which the next task failed lately.
+    std::vector<std::uint64_t> workers_to_avoid(const job_record& job) const;
     bool start_tasks(handle job);
     void start_task(handle job, handle worker);
 
@@ -143,7 +148,9 @@
     victim victim_of(handle place, int level) const;
     bool choose_slice_victims(handle job, std::vector<handle>& chosen);
     handle choose_worker(handle job, std::vector<handle>& chosen);
-    // What a worker will have free once all recent stops are confirmed.
+    // Whether the task is being stopped and ends in time for urgent work.
+    bool ends_in_time(const booking& booked) const;
+    // What a worker will have free once those stops are confirmed.
     base::resources room_after_stops(const worker_record& worker) const;
     // Picks from victims_ into picked_ what makes up the missing amount;
     // false if all together do not.
@@ -200,10 +207,12 @@
     std::priority_queue<delayed_task, std::vector<delayed_task>, std::greater<>>
         delayed_;
     std::vector<serial_handle> quarantined_;
+    std::vector<serial_handle> on_probation_;
 
     // Decided and not yet handed out.
     std::deque<serial_handle> urgent_stops_;
     std::deque<serial_handle> stops_;
+    std::deque<serial_handle> throttles_;
     std::deque<action> notices_;
     // Tasks of cancelled and condemned jobs that are still to be stopped.
     std::deque<serial_handle> endings_;
--- a/src/placement/shape_group.hpp
+++ b/src/placement/shape_group.hpp
@@ -3,6 +3,7 @@
 
 #include "handle.hpp"
 #include "shape_key.hpp"
+#include <coltsfootrack/base/clock.hpp>
 
 #include <cstdint>
 #include <map>
@@ -18,7 +19,9 @@
     std::map<std::uint64_t, handle> jobs;
     // The state of the fleet's room in which a search failed; 0 for none.
     std::uint64_t failed_at = 0;
-    // The same for a plan to preempt other work.
+    // When the search is repeated although the room has not changed.
+    base::time_point retry_at = base::time_point::max();
+    // The state of the room in which a plan to preempt failed; 0 for none.
     std::uint64_t plan_failed_at = 0;
 };
 
--- a/src/placement/shape_key.hpp
+++ b/src/placement/shape_key.hpp
@@ -21,6 +21,8 @@
     // The tasks of a gang that wait; 0 for other jobs.
     std::uint32_t gang_tasks = 0;
     tier level = tier::batch;
+    // Services may preempt more than other work.
+    bool service = false;
     // Exclusive tasks are not tried on workers on probation.
     bool exclusive = false;
     // The sequence number of a job that avoids workers or has room kept for
@@ -29,10 +31,10 @@
 
     friend bool operator==(const shape_key& a, const shape_key& b)
     {
-        return std::tie(a.size, a.run_time, a.gang_tasks, a.level, a.exclusive,
-                        a.own_sequence) ==
-               std::tie(b.size, b.run_time, b.gang_tasks, b.level, b.exclusive,
-                        b.own_sequence);
+        return std::tie(a.size, a.run_time, a.gang_tasks, a.level, a.service,
+                        a.exclusive, a.own_sequence) ==
+               std::tie(b.size, b.run_time, b.gang_tasks, b.level, b.service,
+                        b.exclusive, b.own_sequence);
     }
 
     friend bool operator!=(const shape_key& a, const shape_key& b)
@@ -46,7 +48,7 @@
         return H::combine(std::move(state), key.size.cpu_milli,
                           key.size.memory_mb, key.size.accelerators,
                           key.run_time.count(), key.gang_tasks, key.level,
-                          key.exclusive, key.own_sequence);
+                          key.service, key.exclusive, key.own_sequence);
     }
 };
 
--- a/src/placement/worker_query.hpp
+++ b/src/placement/worker_query.hpp
@@ -2,7 +2,6 @@
 #define COLTSFOOTRACK_PLACEMENT_WORKER_QUERY_HPP_INCLUDED
 
 #include "handle.hpp"
-#include "task_failure.hpp"
 #include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/base/resources.hpp>
 
@@ -27,8 +26,8 @@
     // Whether a task without accelerators leaves the processors and memory
     // that belong to the free accelerators of a worker.
     bool keeps_accelerators = false;
-    // Failures of the job; the workers concerned are avoided.
-    const std::vector<task_failure>* avoid = nullptr;
+    // The serial numbers of workers that are not to be chosen.
+    std::vector<std::uint64_t> avoid;
     // Tasks of the job per rack, if they are to be spread.
     const std::vector<std::uint32_t>* rack_tasks = nullptr;
 };
--- a/src/placement/worker_record.hpp
+++ b/src/placement/worker_record.hpp
@@ -47,7 +47,8 @@
 
     std::vector<worker_failure> failures;
     std::uint32_t quarantines = 0;
-    base::time_point quarantined_until;
+    // The end of the quarantine or of the probation.
+    base::time_point health_until;
     std::size_t probation_finished = 0;
 };
 
