Space the commits of a daemon

Cause: under load the stream sent the next commit at once, so each daemon near the platform would make hundreds of commits a second, and the session row was written with nearly every mutation. Ruled out: waiting before each commit (a mutation that arrives at an idle stream must not be delayed); a smaller session row (its fields are fixed). Change: table_options::commit_spacing, 50 ms. The generated tests use it; the tests that send several commits at one time set it to 0.

--- a/include/coltsfootrack/store/commit_stream.hpp
+++ b/include/coltsfootrack/store/commit_stream.hpp
@@ -148,6 +148,8 @@
     std::uint32_t failures_ = 0;
     base::time_point retry_at_;
     base::time_point renew_at_;
+    // No commit with mutations starts earlier.
+    base::time_point spaced_until_;
 
     std::vector<commit_report> reports_;
     std::optional<base::time_point> renewal_;
--- a/src/store/commit_stream.cpp
+++ b/src/store/commit_stream.cpp
@@ -43,6 +43,7 @@
     , queue_(options)
     , retry_at_(base::time_point::min())
     , renew_at_(base::time_point::min())
+    , spaced_until_(base::time_point::min())
 {
 }
 
@@ -71,7 +72,8 @@
         case phase::barrier:
             return send_barrier(now);
         case phase::ready:
-            if ((registered_ && !queue_.empty()) || now >= renew_at_)
+            if ((registered_ && !queue_.empty() && now >= spaced_until_) ||
+                now >= renew_at_)
             {
                 return send_batch(now);
             }
@@ -96,6 +98,10 @@
         singly_ -= std::min<std::size_t>(singly_, 1);
     }
     last_conflicted_ = false;
+    if (!sent.batch.empty())
+    {
+        spaced_until_ = now + options_.commit_spacing;
+    }
     sent_ = std::move(sent);
     barrier_in_flight_ = false;
     return commit_call(*sent_);
@@ -323,10 +329,14 @@
     }
     base::time_point wake =
         std::min(queue_.next_deadline(), std::max(retry_at_, renew_at_));
-    if (phase_ != phase::ready || !queue_.empty())
+    if (phase_ != phase::ready)
     {
         wake = std::min(wake, retry_at_);
     }
+    else if (!queue_.empty())
+    {
+        wake = std::min(wake, std::max(retry_at_, spaced_until_));
+    }
     return wake;
 }
 
--- a/test/store/commit_stream_test.cpp
+++ b/test/store/commit_stream_test.cpp
@@ -16,6 +16,14 @@
 
 const base::time_point start{};
 
+// Lets several commits start at the same time.
+table_options unspaced_options()
+{
+    table_options options = faulty_run::options();
+    options.commit_spacing = milliseconds(0);
+    return options;
+}
+
 // A stream whose session is registered at version 1.
 commit_stream registered_stream(const table_options& options)
 {
@@ -37,6 +45,7 @@
     CPPUNIT_TEST(reports_under_faults_agree_with_table);
     CPPUNIT_TEST(reports_under_heavy_faults_agree_with_table);
     CPPUNIT_TEST(stream_idle_renews_every_interval);
+    CPPUNIT_TEST(commits_under_load_keep_their_spacing);
     CPPUNIT_TEST(batch_is_bounded_in_count_writes_and_bytes);
     CPPUNIT_TEST(batch_holds_no_mutation_that_depends_on_another);
     CPPUNIT_TEST(conflict_fails_only_its_mutation);
@@ -83,7 +92,7 @@
     // writes.
     void stream_idle_renews_every_interval()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         stream_call call = stream.next(start + milliseconds(1999));
         CPPUNIT_ASSERT(call.action == stream_call::action::wait);
         CPPUNIT_ASSERT(call.wake_at == start + seconds(2));
@@ -94,10 +103,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, call.content.writes.size());
     }
 
+    // Guards against one daemon making hundreds of commits a second, and
+    // against a delay for a mutation that arrives at an idle stream.
+    void commits_under_load_keep_their_spacing()
+    {
+        commit_stream stream = registered_stream(faulty_run::options());
+        int commits = 0;
+        version sequence = 1;
+        for (std::uint64_t id = 0; id < 1000; ++id)
+        {
+            const base::time_point now =
+                start + milliseconds(static_cast<int>(id));
+            CPPUNIT_ASSERT(
+                stream.submit(id, mutation().put(std::to_string(id), id), now)
+                    .ok());
+            const stream_call call = stream.next(now);
+            if (call.action == stream_call::action::commit)
+            {
+                ++commits;
+                stream.commit_answered(
+                    {commit_answer::result::committed, ++sequence, {}}, now);
+            }
+            else
+            {
+                CPPUNIT_ASSERT(call.wake_at <= now + milliseconds(50));
+            }
+            CPPUNIT_ASSERT(id != 0 || commits == 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(20, commits);
+    }
+
     // Guards against commits that the platform refuses for their size.
     void batch_is_bounded_in_count_writes_and_bytes()
     {
-        table_options options = faulty_run::options();
+        table_options options = unspaced_options();
         options.max_batch_mutations = 3;
         options.max_batch_writes = 10;
         options.max_batch_bytes = 1000;
@@ -125,7 +164,7 @@
     // because they are in one commit.
     void batch_holds_no_mutation_that_depends_on_another()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         const auto submit = [&stream](std::uint64_t id, const mutation& change)
         {
             CPPUNIT_ASSERT(stream.submit(id, change, start).ok());
@@ -143,7 +182,7 @@
     // Guards against one caller's conflict that fails the others.
     void conflict_fails_only_its_mutation()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         CPPUNIT_ASSERT(
             stream.submit(1, mutation().require("a", 3).put("a", 1), start)
                 .ok());
@@ -168,7 +207,7 @@
     // Guards against a lease that expires while callers cause conflicts.
     void conflicts_in_series_do_not_delay_renewal()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         base::time_point now = start;
         for (std::uint64_t id = 0; now < start + seconds(3); ++id)
         {
@@ -190,7 +229,7 @@
     // Guards against a mutation that blocks the stream for ever.
     void refused_batch_fails_only_the_refused_mutation()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         for (std::uint64_t id = 1; id <= 3; ++id)
         {
             CPPUNIT_ASSERT(
@@ -223,7 +262,7 @@
     {
         for (const bool barrier_applies : {true, false})
         {
-            commit_stream stream = registered_stream(faulty_run::options());
+            commit_stream stream = registered_stream(unspaced_options());
             CPPUNIT_ASSERT(
                 stream.submit(1, mutation().put("a", 1), start).ok());
             const stream_call lost = stream.next(start);
@@ -270,7 +309,7 @@
     // Guards against callers that wait for the end of an outage.
     void outage_unsent_mutation_is_unavailable_at_its_deadline()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         CPPUNIT_ASSERT(stream.submit(1, mutation().put("a", 1), start).ok());
         base::time_point now = start;
         int calls = 0;
@@ -300,7 +339,7 @@
     // Guards against unbounded memory.
     void queue_over_limit_is_overloaded()
     {
-        table_options options = faulty_run::options();
+        table_options options = unspaced_options();
         options.max_queued_mutations = 2;
         commit_stream stream = registered_stream(options);
         CPPUNIT_ASSERT(stream.submit(1, mutation().put("a", 1), start).ok());
@@ -319,7 +358,7 @@
     // Guards against a mutation that breaks the session row.
     void mutation_malformed_is_refused()
     {
-        commit_stream stream = registered_stream(faulty_run::options());
+        commit_stream stream = registered_stream(unspaced_options());
         for (const mutation& change :
              {mutation(), mutation().put("session/d1", 1),
               mutation().require("session/d1", 1).put("a", 1),
