Test the client against an unanswered connection request

Cause: a VM that is cut off refuses nothing, it does not answer. Change: a test with a full backlog, where the kernel drops the request; the result must be upstream_unreachable with nothing sent.

--- a/test/http/client_test.cpp
+++ b/test/http/client_test.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
+#include <vector>
 
 namespace coltsfootrack::http
 {
@@ -40,6 +41,7 @@
     CPPUNIT_TEST_SUITE(client_test);
     CPPUNIT_TEST(send_complete_answer_is_returned_on_one_connection);
     CPPUNIT_TEST(send_refused_connection_reports_nothing_sent);
+    CPPUNIT_TEST(send_unanswered_connect_reports_nothing_sent);
     CPPUNIT_TEST(send_connection_lost_at_any_point_is_never_complete);
     CPPUNIT_TEST(send_answer_without_length_is_truncated);
     CPPUNIT_TEST(send_slow_answer_times_out_as_sent);
@@ -99,6 +101,42 @@
                        base::error_kind::upstream_unreachable);
     }
 
+    // Guards against "unknown" for a request to a VM that is cut off: no
+    // connection was made, so it did not run.
+    void send_unanswered_connect_reports_nothing_sent()
+    {
+        const int listener = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof address;
+        auto* generic = reinterpret_cast<sockaddr*>(&address);
+        CPPUNIT_ASSERT_EQUAL(0, ::bind(listener, generic, size));
+        CPPUNIT_ASSERT_EQUAL(0, ::listen(listener, 0));
+        ::getsockname(listener, generic, &size);
+        // A full backlog makes the kernel drop further connection requests.
+        std::vector<int> fillers;
+        for (int i = 0; i < 4; ++i)
+        {
+            fillers.push_back(
+                ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+            static_cast<void>(::connect(fillers.back(), generic, size));
+        }
+        client_options options;
+        options.connect_timeout = std::chrono::milliseconds(100);
+        client http(options);
+        const client_result result = http.send(
+            "127.0.0.1:" + std::to_string(ntohs(address.sin_port)), post());
+        for (const int filler : fillers)
+        {
+            ::close(filler);
+        }
+        ::close(listener);
+        CPPUNIT_ASSERT(!result.request_sent);
+        CPPUNIT_ASSERT(base::kind_of(result.status) ==
+                       base::error_kind::upstream_unreachable);
+    }
+
     // Guards against a partial answer being passed on as a whole one (invariant
     // 5), and against "nothing sent" after the upstream has read the request
     // (invariant 6).
