--- a/src/daemon/store_session.cpp
+++ b/src/daemon/store_session.cpp
@@ -24,7 +24,8 @@
     options.platform = config::to_string(settings.platform);
     options.session = {settings.id, incarnation, settings.zone,
                        config::to_string(settings.peer)};
-    options.commits_per_second = settings.store.writes_per_second;
+    options.commit_spacing =
+        std::chrono::milliseconds(1000 / settings.store.writes_per_second);
     options.writes_per_second =
         settings.store.writes_per_second * rows_per_commit;
     options.reads_per_second = settings.store.reads_per_second;
