Count a worker's lease from its own last answer

Cause: found by reading in review of the coordination part: an owner that was paused between the check of its lease and the sending of a sync could renew a worker's lease after its successor had counted it as ended. An exclusive task could then run in two places. Ruled out: a shorter lease or a longer margin; a pause has no bound. Only checking again before sending; a pause can follow any check. Change: each worker answer carries the worker's time, a sync names the last one, and the worker counts the lease from it. Adoption renews nothing. The probing of silent workers without renewal is not needed any more and is removed. There is no test yet that delays a sync between two processes.

--- a/include/coltsfootrack/daemon/worker_agent.hpp
+++ b/include/coltsfootrack/daemon/worker_agent.hpp
@@ -22,11 +22,13 @@
 // Talks to all workers of a zone under one epoch: adoption, lease renewal and
 // commands.
 //
-// A worker is adopted first; its answer tells what it runs. While it answers,
-// its lease is renewed every 10 s and with each batch of commands. When it
-// fails to answer for 5 s it counts as silent: only requests that renew no
-// lease are sent to it, so that its lease ends at a known time. After that
-// time its tasks have certainly ended, and on_lapsed is called.
+// A worker is adopted first; its answer tells what it runs. Then its lease is
+// renewed every 10 s and with each batch of commands. A renewal names the
+// worker's last answer, and the worker counts the lease from the time of that
+// answer. So neither an unanswered renewal nor one that was delayed extends the
+// lease beyond the last answer known here, plus its length. After that time and
+// a margin the tasks of a worker that does not answer have certainly ended, and
+// on_lapsed is called.
 //
 // Each worker has at most one call in flight. Commands are repeated until they
 // are answered; the worker executes a token once.
@@ -86,8 +88,7 @@
     enum class link_state
     {
         adopting,
-        active,
-        silent
+        active
     };
 
     struct command_item
@@ -105,12 +106,15 @@
         // Whether the worker may run tasks that are not known here.
         bool pending = true;
         bool lapsed = false;
+        bool reported_silent = false;
         bool in_flight = false;
         unsigned failures = 0;
         base::time_point next_call{};
+        // The last answer; the worker's lease is counted from no later time.
         base::time_point last_answer{};
-        // The last call that may have renewed the worker's lease.
-        base::time_point last_renewal{};
+        // The worker's own time of that answer, for the next renewal.
+        std::int64_t answered_at_ms = 0;
+        base::time_point last_sync{};
         std::deque<command_item> commands;
         std::size_t sent_commands = 0;
     };
@@ -119,6 +123,7 @@
     void check_lapse(link& target, base::time_point now);
     void answered(const std::string& name, const http::client_result& result);
     void adopted(link& target, const nlohmann::json& body);
+    void note_answer(link& target, const nlohmann::json& body);
     void synced(link& target, const nlohmann::json& body);
     void failed(link& target, base::time_point now);
     http::request make_request(link& target) const;
--- a/src/daemon/worker_agent.cpp
+++ b/src/daemon/worker_agent.cpp
@@ -18,8 +18,7 @@
 constexpr auto part = "worker";
 constexpr std::chrono::seconds sync_interval{10};
 constexpr std::chrono::milliseconds call_timeout{1000};
-// With a longer period of unanswered renewals the worker's lease, and with it
-// the restart of its tasks elsewhere, would be put off further.
+// A worker that does not answer for this long gets no new task.
 constexpr std::chrono::seconds silent_after{5};
 constexpr std::chrono::milliseconds first_pause{200};
 constexpr std::chrono::milliseconds last_pause{2000};
@@ -67,9 +66,8 @@
         target.listed = true;
         if (added)
         {
+            // A former owner may have had an answer until the takeover.
             target.last_answer = shared_.clock.now();
-            // A former owner may have renewed its lease until the takeover.
-            target.last_renewal = started_;
         }
         target.vm = vm;
     }
@@ -82,7 +80,7 @@
     {
         found->second.vm.name = worker.text();
         found->second.listed = false;
-        found->second.last_renewal = started_;
+        found->second.last_answer = shared_.clock.now();
     }
 }
 
@@ -129,7 +127,7 @@
         }
         const bool due = target.state == link_state::active
                              ? !target.commands.empty() ||
-                                   now >= target.last_renewal + sync_interval
+                                   now >= target.last_sync + sync_interval
                              : true;
         if (until && due && now >= target.next_call)
         {
@@ -145,15 +143,15 @@
 void worker_agent::check_lapse(link& target, base::time_point now)
 {
     const coordination::timing periods;
-    const auto end = target.last_renewal + call_timeout + periods.worker_lease +
-                     periods.worker_margin;
+    const auto end =
+        target.last_answer + periods.worker_lease + periods.worker_margin;
     if (target.lapsed || now < end)
     {
         return;
     }
     target.lapsed = true;
     target.pending = false;
-    target.state = link_state::silent;
+    target.state = link_state::adopting;
     target.commands.clear();
     target.sent_commands = 0;
     base::log(base::log_level::warning, part,
@@ -173,20 +171,17 @@
     nlohmann::json body;
     switch (target.state)
     {
-    case link_state::silent:
-        message.method = "GET";
-        message.path = "/healthz";
-        return message;
     case link_state::adopting:
         message.path = "/v1/adopt";
         body = {{"owner", config::to_string(shared_.settings.http)},
                 {"daemon", shared_.settings.id.text()},
-                {"epoch", epoch_},
-                {"lease_ms", lease_ms}};
+                {"epoch", epoch_}};
         break;
     case link_state::active:
         message.path = "/v1/sync";
-        body = {{"epoch", epoch_}, {"lease_ms", lease_ms}};
+        body = {{"epoch", epoch_},
+                {"lease_ms", lease_ms},
+                {"answered_at_ms", target.answered_at_ms}};
         body["commands"] = nlohmann::json::array();
         target.sent_commands =
             std::min(target.commands.size(), max_commands_per_call);
@@ -204,10 +199,9 @@
                         base::time_point until)
 {
     http::request message = make_request(target);
-    if (target.state != link_state::silent)
+    if (target.state == link_state::active)
     {
-        target.last_renewal = now;
-        target.lapsed = false;
+        target.last_sync = now;
     }
     target.in_flight = true;
     shared_.metrics.count_event("worker_call");
@@ -234,13 +228,7 @@
         failed(target, now);
         return;
     }
-    target.last_answer = now;
     target.failures = 0;
-    if (target.state == link_state::silent)
-    {
-        target.state = link_state::adopting;
-        return;
-    }
     if (result.answer.status == 410)
     {
         target.state = link_state::adopting;
@@ -283,10 +271,11 @@
     const auto pause = first_pause * (1U << std::min(target.failures, 4U));
     target.next_call = now + std::min<base::duration>(pause, last_pause);
     target.sent_commands = 0;
-    if (target.state != link_state::silent &&
-        now - target.last_answer > silent_after)
+    if (!target.reported_silent && now - target.last_answer > silent_after &&
+        target.failures > 1)
     {
-        target.state = link_state::silent;
+        target.reported_silent = true;
+        target.state = link_state::adopting;
         base::log(base::log_level::warning, part,
                   "Worker does not answer. worker={}", target.vm.name);
         handlers_.on_silent(base::worker_id(target.vm.name));
@@ -300,14 +289,25 @@
     {
         running.push_back(read_task(value));
     }
+    note_answer(target, body);
     target.state = link_state::active;
     target.pending = false;
-    target.lapsed = false;
+    // The first renewal, which starts the lease, is due at once.
+    target.last_sync = base::time_point();
     handlers_.on_adopted(target.vm, running);
 }
 
+void worker_agent::note_answer(link& target, const nlohmann::json& body)
+{
+    target.answered_at_ms = body.at("answered_at_ms").get<std::int64_t>();
+    target.last_answer = shared_.clock.now();
+    target.lapsed = false;
+    target.reported_silent = false;
+}
+
 void worker_agent::synced(link& target, const nlohmann::json& body)
 {
+    note_answer(target, body);
     std::vector<command_item> done;
     const std::size_t sent = std::exchange(target.sent_commands, 0);
     for (std::size_t i = 0; i < sent && !target.commands.empty(); ++i)
--- a/test/standins/worker/worker.cpp
+++ b/test/standins/worker/worker.cpp
@@ -4,6 +4,7 @@
 
 #include <coltsfootrack/http/json_response.hpp>
 
+#include <algorithm>
 #include <ctime>
 
 namespace coltsfootrack::standins
@@ -90,11 +91,19 @@
     return event_loop::clock::now() < lease_end_;
 }
 
-void worker::renew(const nlohmann::json& body)
+bool worker::renew(const nlohmann::json& body)
 {
-    lease_end_ =
-        event_loop::clock::now() +
-        std::chrono::milliseconds(body.at("lease_ms").get<std::int64_t>());
+    // Counted from the answer that the owner names, so that a renewal which was
+    // delayed on its way extends nothing.
+    const auto left = body.at("answered_at_ms").get<std::int64_t>() +
+                      body.at("lease_ms").get<std::int64_t>() - monotonic_ms();
+    if (left <= 0)
+    {
+        return false;
+    }
+    lease_end_ = std::max(lease_end_, event_loop::clock::now() +
+                                          std::chrono::milliseconds(left));
+    return true;
 }
 
 void worker::check_lease()
@@ -120,7 +129,6 @@
     }
     epoch_ = epoch;
     owner_ = body.at("owner").get<std::string>();
-    renew(body);
     auto running = nlohmann::json::array();
     for (const auto& [token, task] : tasks_)
     {
@@ -132,8 +140,9 @@
              {"resources", task.command.at("resources")},
              {"exclusive", task.command.value("exclusive", false)}});
     }
-    current.answer(
-        http::json_response(200, {{"epoch", epoch_}, {"running", running}}));
+    current.answer(http::json_response(200, {{"epoch", epoch_},
+                                             {"answered_at_ms", monotonic_ms()},
+                                             {"running", running}}));
 }
 
 void worker::sync(exchange& current, const nlohmann::json& body)
@@ -144,12 +153,11 @@
         current.answer(http::json_response(409, {{"epoch", epoch_}}));
         return;
     }
-    if (epoch > epoch_ || !lease_valid())
+    if (epoch > epoch_ || !renew(body))
     {
         current.answer(http::json_response(410, {{"epoch", epoch_}}));
         return;
     }
-    renew(body);
     auto results = nlohmann::json::array();
     for (const auto& command : body.value("commands", nlohmann::json::array()))
     {
@@ -173,6 +181,7 @@
         }
     }
     current.answer(http::json_response(200, {{"epoch", epoch_},
+                                             {"answered_at_ms", monotonic_ms()},
                                              {"results", results},
                                              {"running", tasks_.size()},
                                              {"usage", usage}}));
--- a/test/standins/worker/worker.hpp
+++ b/test/standins/worker/worker.hpp
@@ -50,7 +50,8 @@
     std::string stop(const nlohmann::json& command);
     void end(const std::string& token, const std::string& outcome,
              const std::string& reason);
-    void renew(const nlohmann::json& body);
+    // False if the lease that the renewal could give has ended already.
+    bool renew(const nlohmann::json& body);
     void check_lease();
     bool lease_valid() const;
     void note(const char* event, const nlohmann::json& command,
