Submit the gang of the starvation test after the fleet is full

Cause: large_gang_starts_among_small_jobs passed with reservations off. The gang was submitted first and started on the empty fleet. Ruled out: a longer run with a larger gang; the order was the fault. Change: the gang is submitted one second after the small jobs. Conclusion: the test now guards against starvation, which it did not before.

--- a/test/placement/fault_test.cpp
+++ b/test/placement/fault_test.cpp
@@ -301,9 +301,6 @@
         add_workers(driver, 8);
         std::map<base::task_id, base::time_point> ends;
         int jobs = 0;
-        CPPUNIT_ASSERT(
-            driver.submit(zone_driver::job("g", "a", job_kind::gang, node, 6))
-                .ok());
         for (int second = 0; second < 300; ++second)
         {
             while (driver.zone.counters().waiting_jobs < 10)
@@ -319,6 +316,13 @@
                     CPPUNIT_ASSERT(driver.submit(spec).ok());
                 }
             }
+            if (second == 1)
+            {
+                CPPUNIT_ASSERT(driver
+                                   .submit(zone_driver::job(
+                                       "g", "a", job_kind::gang, node, 6))
+                                   .ok());
+            }
             for (const action& decided : driver.step())
             {
                 ends[decided.task] =
