--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -34,4 +34,21 @@
 endif()
 
 install(TARGETS coltsfootrack EXPORT coltsfootrack-targets)
-install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR})
+install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}
+    PATTERN daemon EXCLUDE)
+
+# The package, so that find_package(coltsfootrack) gives
+# coltsfootrack::coltsfootrack.
+include(CMakePackageConfigHelpers)
+set(COLTSFOOTRACK_PACKAGE_DIR ${CMAKE_INSTALL_LIBDIR}/cmake/coltsfootrack)
+install(EXPORT coltsfootrack-targets NAMESPACE coltsfootrack::
+    DESTINATION ${COLTSFOOTRACK_PACKAGE_DIR})
+configure_package_config_file(cmake/coltsfootrack-config.cmake.in
+    ${CMAKE_CURRENT_BINARY_DIR}/coltsfootrack-config.cmake
+    INSTALL_DESTINATION ${COLTSFOOTRACK_PACKAGE_DIR})
+write_basic_package_version_file(
+    ${CMAKE_CURRENT_BINARY_DIR}/coltsfootrack-config-version.cmake
+    COMPATIBILITY SameMinorVersion)
+install(FILES ${CMAKE_CURRENT_BINARY_DIR}/coltsfootrack-config.cmake
+    ${CMAKE_CURRENT_BINARY_DIR}/coltsfootrack-config-version.cmake
+    DESTINATION ${COLTSFOOTRACK_PACKAGE_DIR})
