Take task ids by value in the test driver

Cause: the address sanitizer found a use after free in quarantine_takes_only_a_part_of_the_fleet: the driver was given a reference to a key of the map from which it removes the task. The scheduler was not concerned. Ruled out: copying in the one test; others could make the same mistake. Change: finish, fail and stop of zone_driver take the id by value.

--- a/test/placement/zone_driver.hpp
+++ b/test/placement/zone_driver.hpp
@@ -90,20 +90,21 @@
         return found == running.end() ? "" : found->second.worker.text();
     }
 
-    // Each reports the end of a running task.
-    bool finish(const base::task_id& ended)
+    // Each reports the end of a running task. The id is taken by value, since
+    // it may be a key of running, from which it is removed.
+    bool finish(base::task_id ended)
     {
         const std::string token = take(ended);
         return zone.report_finished(ended, token, now);
     }
 
-    bool fail(const base::task_id& ended)
+    bool fail(base::task_id ended)
     {
         const std::string token = take(ended);
         return zone.report_failed(ended, token, "exit status 1", now);
     }
 
-    bool stop(const base::task_id& ended)
+    bool stop(base::task_id ended)
     {
         const std::string token = take(ended);
         return zone.report_stopped(ended, token, now);
