--- a/include/coltsfootrack/placement/scheduler.hpp
+++ b/include/coltsfootrack/placement/scheduler.hpp
@@ -94,9 +94,10 @@
     // steps. Error: not_found.
     absl::Status cancel(const base::job_id& job);
 
-    // Books a task that runs on a worker after a takeover. Submit its job
-    // before; the tasks of an unknown job are booked and can be cancelled. A
-    // second running copy of a task is booked too, and stopped.
+    // Books a task that runs on a worker after a takeover, before or after the
+    // submission of its job. A job that is restored first is not subject to
+    // the bounds of the queue. A second running copy of a task is booked too,
+    // and stopped.
     void restore_running(const restored_task& running);
 
     // Notes that a task had finished before the takeover.
