--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -56,3 +56,15 @@
 target_link_libraries(coltsfootrack-system PUBLIC coltsfootrack)
 add_executable(demo test/system/demo.cpp)
 target_link_libraries(demo PRIVATE coltsfootrack-system)
+
+# The invariants across real processes. tools/check-system runs each test in a
+# process of its own; sanitizers would slow the daemons below their leases.
+file(GLOB system_tests CONFIGURE_DEPENDS test/system/*_test.cpp)
+if(system_tests AND NOT COLTSFOOTRACK_SANITIZE)
+    add_executable(test-system ${system_tests} test/system/fleet_driver.cpp
+        test/system/tcp_relay.cpp)
+    target_link_libraries(test-system PRIVATE
+        coltsfootrack-test-main coltsfootrack-system)
+    add_dependencies(test-system coltsfootrackd standin-platform
+        standin-worker standin-runner)
+endif()
--- a/test/system/cluster.cpp
+++ b/test/system/cluster.cpp
@@ -178,6 +178,12 @@
 
 void cluster::write_settings(const daemon_node& node)
 {
+    const auto route =
+        [&](const std::string& target, const std::string& address)
+    {
+        return options_.route ? options_.route(node.id, target, address)
+                              : address;
+    };
     auto peers = nlohmann::json::array();
     for (const daemon_node& other : daemons_)
     {
@@ -187,8 +193,10 @@
                 {{"id", other.id},
                  {"zone", other.zone},
                  {"region", other.region},
-                 {"peer", fmt::format("127.0.0.1:{}", other.peer_port)},
-                 {"http", fmt::format("127.0.0.1:{}", other.http_port)}});
+                 {"peer", route(other.id,
+                                fmt::format("127.0.0.1:{}", other.peer_port))},
+                 {"http", route(other.id, fmt::format("127.0.0.1:{}",
+                                                      other.http_port))}});
         }
     }
     const nlohmann::json settings = {
@@ -198,7 +206,7 @@
         {"http", fmt::format("127.0.0.1:{}", node.http_port)},
         {"peer", fmt::format("127.0.0.1:{}", node.peer_port)},
         {"peers", peers},
-        {"platform", platform_address_}};
+        {"platform", route("platform", platform_address_)}};
     std::ofstream(options_.folder + "/" + node.id + ".json")
         << settings.dump(2) << "\n";
 }
--- a/test/system/cluster_options.hpp
+++ b/test/system/cluster_options.hpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/base/resources.hpp>
 
+#include <functional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -25,8 +26,12 @@
     // Runners of each zone for each of these services, with 8 slots each.
     std::vector<std::string> services = {"stream"};
     int runners_per_zone = 4;
-    // Whether relays stand between all parts, so that links can be cut.
-    bool relays = false;
+    // The address that the settings of daemon `from` give for `target`, which
+    // is "platform" or another daemon; lets a relay stand in between.
+    std::function<std::string(const std::string& from,
+                              const std::string& target,
+                              const std::string& address)>
+        route;
     // Folder for settings and logs; made if it is missing.
     std::string folder = "cluster";
     // Folder of the programs.
--- /dev/null
+++ b/test/system/tcp_relay.cpp
@@ -0,0 +1,160 @@
+// A TCP relay whose traffic can be held back.
+
+#include "tcp_relay.hpp"
+
+#include <arpa/inet.h>
+#include <array>
+#include <chrono>
+#include <cstdlib>
+#include <map>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace coltsfootrack::system_test
+{
+namespace
+{
+
+constexpr std::chrono::milliseconds pause{10};
+constexpr int poll_ms = 20;
+
+// Passes on what can be read; false at the end of the connection.
+bool forward(int from, int target)
+{
+    std::array<char, 16384> buffer{};
+    const ssize_t size = ::recv(from, buffer.data(), buffer.size(), 0);
+    ssize_t sent = 0;
+    while (sent < size)
+    {
+        const ssize_t part =
+            ::send(target, buffer.data() + sent,
+                   static_cast<std::size_t>(size - sent), MSG_NOSIGNAL);
+        if (part <= 0)
+        {
+            return false;
+        }
+        sent += part;
+    }
+    return size > 0;
+}
+
+sockaddr_in loopback(std::uint16_t port)
+{
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return address;
+}
+
+} // namespace
+
+tcp_relay::tcp_relay(std::string target)
+    : target_(std::move(target))
+    , listener_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+    sockaddr_in address = loopback(0);
+    socklen_t size = sizeof address;
+    auto* where = reinterpret_cast<sockaddr*>(&address);
+    if (::bind(listener_, where, size) != 0 || ::listen(listener_, 64) != 0 ||
+        ::getsockname(listener_, where, &size) != 0)
+    {
+        throw std::runtime_error("the relay cannot listen");
+    }
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { run(); });
+}
+
+tcp_relay::~tcp_relay()
+{
+    stopping_ = true;
+    thread_.join();
+    ::close(listener_);
+}
+
+std::string tcp_relay::address() const
+{
+    return "127.0.0.1:" + std::to_string(port_);
+}
+
+int tcp_relay::connect_target() const
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const auto colon = target_.find(':');
+    const auto port = static_cast<std::uint16_t>(
+        std::strtoul(target_.c_str() + colon + 1, nullptr, 10));
+    sockaddr_in address = loopback(port);
+    if (::connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
+        0)
+    {
+        ::close(fd);
+        return -1;
+    }
+    const int on = 1;
+    ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    return fd;
+}
+
+void tcp_relay::run()
+{
+    // Both directions of each connection.
+    std::map<int, int> ends;
+    while (!stopping_)
+    {
+        if (cut_)
+        {
+            std::this_thread::sleep_for(pause);
+            continue;
+        }
+        std::vector<pollfd> waiting = {{listener_, POLLIN, 0}};
+        for (const auto& [from, target] : ends)
+        {
+            waiting.push_back({from, POLLIN, 0});
+        }
+        if (::poll(waiting.data(), waiting.size(), poll_ms) <= 0 || cut_)
+        {
+            continue;
+        }
+        for (std::size_t i = 1; i < waiting.size(); ++i)
+        {
+            const int from = waiting[i].fd;
+            const auto found = ends.find(from);
+            if (waiting[i].revents == 0 || found == ends.end() ||
+                forward(from, found->second))
+            {
+                continue;
+            }
+            const int other = found->second;
+            ends.erase(from);
+            ends.erase(other);
+            ::close(from);
+            ::close(other);
+        }
+        if (waiting[0].revents != 0)
+        {
+            const int accepted =
+                ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
+            const int target = connect_target();
+            if (accepted >= 0 && target >= 0)
+            {
+                ends[accepted] = target;
+                ends[target] = accepted;
+                continue;
+            }
+            ::close(accepted);
+            ::close(target);
+        }
+    }
+    for (const auto& [from, target] : ends)
+    {
+        ::close(from);
+    }
+}
+
+} // namespace coltsfootrack::system_test
--- /dev/null
+++ b/test/system/tcp_relay.hpp
@@ -0,0 +1,55 @@
+#ifndef COLTSFOOTRACK_TEST_SYSTEM_TCP_RELAY_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_SYSTEM_TCP_RELAY_HPP_INCLUDED
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <thread>
+
+namespace coltsfootrack::system_test
+{
+
+// Forwards TCP connections from a port on loopback to a target. While it is
+// cut, connections stay open and nothing passes, as with lost packets; after
+// heal, what was held back arrives late.
+//
+// Thread safety: cut and heal may be called from any thread.
+class tcp_relay
+{
+public:
+    // The target is an address of the form "127.0.0.1:port". Throws
+    // std::runtime_error if no port can be opened.
+    explicit tcp_relay(std::string target);
+
+    ~tcp_relay();
+    tcp_relay(const tcp_relay&) = delete;
+    tcp_relay& operator=(const tcp_relay&) = delete;
+
+    // The address to connect to instead of the target.
+    std::string address() const;
+
+    void cut()
+    {
+        cut_ = true;
+    }
+
+    void heal()
+    {
+        cut_ = false;
+    }
+
+private:
+    void run();
+    int connect_target() const;
+
+    std::string target_;
+    int listener_ = -1;
+    std::uint16_t port_ = 0;
+    std::atomic<bool> cut_{false};
+    std::atomic<bool> stopping_{false};
+    std::thread thread_;
+};
+
+} // namespace coltsfootrack::system_test
+
+#endif
