Read quota rows again while a team waits for a larger slice

Seen: after a takeover of zone a1 its 4 jobs never started, with 128 cores free in each zone. Cause: zone a2 held the whole limit (64 cores) when the new owner of a1 read the quota row. With nothing free the ledger plans no transfer, and the agent reads the row again only after a rejected or doubtful transfer. So the owner never saw that a2 had returned its slice. Ruled out: a2 keeps its slice (the table showed 0 cores for both zones after a2 had been idle for about 40 s); lack of adoption (4 workers active, none pending); claims (the jobs are not exclusive). Change: rows of teams with waiting work that does not fit into the committed slice are read every 2 s, in one read per zone. Conclusion: a zone without a slice now gets what others return. It still waits for up to 35 s if another zone took the whole limit first.

--- a/include/coltsfootrack/daemon/quota_agent.hpp
+++ b/include/coltsfootrack/daemon/quota_agent.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace coltsfootrack::daemon
 {
@@ -51,6 +52,9 @@
     bool reading_rows_ = false;
     bool stopped_ = false;
     base::time_point next_read_{};
+    // Teams with waiting work that found no free part in the row they know.
+    std::set<base::team_id> short_;
+    base::time_point next_short_read_{};
 };
 
 } // namespace coltsfootrack::daemon
--- a/src/daemon/quota_agent.cpp
+++ b/src/daemon/quota_agent.cpp
@@ -18,6 +18,10 @@
 constexpr std::string_view team_prefix = "config/object/team/";
 // Rows are read again this often while a ledger asks for it.
 constexpr std::chrono::milliseconds read_interval{500};
+// The rows of teams that wait for a larger slice are read this often: other
+// zones return slices without telling anyone, and a ledger plans no transfer
+// while the row it knows has nothing free.
+constexpr std::chrono::seconds short_read_interval{2};
 
 coordination::quota_row read_row(const store::row* row)
 {
@@ -113,9 +117,10 @@
         return;
     }
     std::vector<std::string> keys;
+    const bool read_short = now >= next_short_read_;
     for (const auto& [team, ledger] : ledgers_)
     {
-        if (ledger.needs_read())
+        if (ledger.needs_read() || (read_short && short_.count(team) != 0))
         {
             keys.push_back("quota/" + team.text());
         }
@@ -124,6 +129,10 @@
     {
         return;
     }
+    if (read_short)
+    {
+        next_short_read_ = now + short_read_interval;
+    }
     reading_rows_ = true;
     next_read_ = now + read_interval;
     shared_.store.read(keys, {},
@@ -162,6 +171,7 @@
     {
         demand[team.team] = &team;
     }
+    short_.clear();
     for (auto& [team, ledger] : ledgers_)
     {
         const auto found = demand.find(team);
@@ -178,6 +188,11 @@
         {
             commit(team, *proposal);
         }
+        else if (waiting != base::resources() &&
+                 !(used + waiting).fits_in(ledger.committed()))
+        {
+            short_.insert(team);
+        }
         publish(team);
     }
     read_rows();
