Accept one unknown submission when the store goes down

Cause: store_outage_serves_requests_and_recovers failed once with outcome_unknown for the first submission. The trace shows its commit sent and its connection reset: nobody can tell whether it applied, so did_not_run would be a false statement. Ruled out: a fault of the daemon; every later submission is refused as did_not_run because its commit is never sent.

--- a/test/system/lifecycle_test.cpp
+++ b/test/system/lifecycle_test.cpp
@@ -223,6 +223,7 @@
         driver.store_faults({{"down", true}});
         const auto end = std::chrono::steady_clock::now() + seconds(20);
         int number = 0;
+        int unknown = 0;
         std::string violation;
         while (std::chrono::steady_clock::now() < end)
         {
@@ -238,10 +239,19 @@
                     driver.post(0, "/v1/jobs", key,
                                 {{"workload", "short"},
                                  {"id", fmt::format("no-{}", number)}});
-                CPPUNIT_ASSERT_MESSAGE(job.body, says_did_not_run(job));
+                // Of the submission whose commit was sent when the store went
+                // down nobody can tell; only one commit is in flight.
+                if (!says_did_not_run(job))
+                {
+                    CPPUNIT_ASSERT_MESSAGE(
+                        job.body, job.body.find("\"outcome_unknown\"") !=
+                                      std::string::npos);
+                    ++unknown;
+                }
             }
             std::this_thread::sleep_for(milliseconds(20));
         }
+        CPPUNIT_ASSERT(unknown <= 1);
         CPPUNIT_ASSERT_EQUAL(4, driver.running_tasks("before"));
         driver.store_faults({{"down", false}});
         CPPUNIT_ASSERT_EQUAL(std::string(), violation);
