End idempotency claims that nobody will end

Cause: found in the read-through. A claim whose commit had an unknown outcome at the deadline stayed claimed too, although nothing was sent and the caller was told to retry. Ruled out: a time limit on claims; a paused daemon may still send. Change: idempotency_claimer holds the claim of one request. A claim whose commit turns out to have applied after it was given up is released. A claim of a session that was fenced or replaced is ended as unknown. The cluster support moves from test/system to bench/cluster, because the demonstration and the measurements use it. Conclusion: a repeat of a key gets its final answer after the daemon of the first request has restarted or was fenced.

--- a/test/system/child_process.cpp
+++ b/bench/cluster/child_process.cpp
@@ -12,7 +12,7 @@
 #include <thread>
 #include <unistd.h>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 child_process::child_process(const std::vector<std::string>& command,
@@ -94,4 +94,4 @@
     return text.str();
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/child_process.hpp
+++ b/bench/cluster/child_process.hpp
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_CHILD_PROCESS_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_CHILD_PROCESS_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_CHILD_PROCESS_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_CHILD_PROCESS_HPP_INCLUDED
 
 #include <chrono>
 #include <optional>
@@ -7,7 +7,7 @@
 #include <sys/types.h>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // A program that a test started. It is killed when the object ends.
@@ -52,6 +52,6 @@
     pid_t pid_ = -1;
 };
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/cluster.cpp
+++ b/bench/cluster/cluster.cpp
@@ -16,7 +16,7 @@
 #include <thread>
 #include <unistd.h>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -408,4 +408,4 @@
     }
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/cluster.hpp
+++ b/bench/cluster/cluster.hpp
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_CLUSTER_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_CLUSTER_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_CLUSTER_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_CLUSTER_HPP_INCLUDED
 
 #include "child_process.hpp"
 #include "cluster_options.hpp"
@@ -15,7 +15,7 @@
 #include <string>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // The platform stand-in, workers, runners and daemons as processes on loopback.
@@ -112,6 +112,6 @@
 // ones.
 std::uint16_t free_ports(int count);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/cluster_options.hpp
+++ b/bench/cluster/cluster_options.hpp
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_CLUSTER_OPTIONS_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_CLUSTER_OPTIONS_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_CLUSTER_OPTIONS_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_CLUSTER_OPTIONS_HPP_INCLUDED
 
 #include <coltsfootrack/base/resources.hpp>
 
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // The shape of a cluster of real processes on loopback.
@@ -38,6 +38,6 @@
     std::string programs = ".";
 };
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/demo.cpp
+++ b/bench/cluster/demo.cpp
@@ -15,7 +15,7 @@
 {
 
 using namespace coltsfootrack;
-using namespace coltsfootrack::system_test;
+using namespace coltsfootrack::local_cluster;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using steady = std::chrono::steady_clock;
--- a/test/system/fleet_checks.cpp
+++ b/bench/cluster/fleet_checks.cpp
@@ -6,7 +6,7 @@
 #include <fmt/core.h>
 #include <functional>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -173,4 +173,4 @@
         { return fact.at("event") == "started" && fact.at("job") == job; }));
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/fleet_checks.hpp
+++ b/bench/cluster/fleet_checks.hpp
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_FLEET_CHECKS_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_FLEET_CHECKS_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_FLEET_CHECKS_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_FLEET_CHECKS_HPP_INCLUDED
 
 #include <coltsfootrack/base/resources.hpp>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // Naive statements of the invariants, checked over the facts that the workers
@@ -37,6 +37,6 @@
 // The number of "started" facts of a job.
 int count_starts(const nlohmann::json& facts, const std::string& job);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/process_usage.cpp
+++ b/bench/cluster/process_usage.cpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <unistd.h>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 process_usage usage_of(pid_t pid)
@@ -46,4 +46,4 @@
     return usage;
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/process_usage.hpp
+++ b/bench/cluster/process_usage.hpp
@@ -1,9 +1,9 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_PROCESS_USAGE_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_PROCESS_USAGE_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_PROCESS_USAGE_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_PROCESS_USAGE_HPP_INCLUDED
 
 #include <sys/types.h>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // What a process has used so far, from /proc.
@@ -17,6 +17,6 @@
 // All zero if the process does not exist.
 process_usage usage_of(pid_t pid);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/request_load.cpp
+++ b/bench/cluster/request_load.cpp
@@ -9,7 +9,7 @@
 #include <mutex>
 #include <thread>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -101,4 +101,4 @@
     return result;
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/request_load.hpp
+++ b/bench/cluster/request_load.hpp
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_REQUEST_LOAD_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_REQUEST_LOAD_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_REQUEST_LOAD_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_REQUEST_LOAD_HPP_INCLUDED
 
 #include "cluster.hpp"
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // What became of a number of requests.
@@ -33,6 +33,6 @@
                           const std::string& key, int count, int threads,
                           int work_ms);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/sample_ticket.cpp
+++ b/bench/cluster/sample_ticket.cpp
@@ -6,7 +6,7 @@
 
 #include <stdexcept>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -100,4 +100,4 @@
     return *this;
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/sample_ticket.hpp
+++ b/bench/cluster/sample_ticket.hpp
@@ -1,5 +1,5 @@
-#ifndef COLTSFOOTRACK_TEST_SYSTEM_SAMPLE_TICKET_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SYSTEM_SAMPLE_TICKET_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_BENCH_CLUSTER_SAMPLE_TICKET_HPP_INCLUDED
+#define COLTSFOOTRACK_BENCH_CLUSTER_SAMPLE_TICKET_HPP_INCLUDED
 
 #include <coltsfootrack/base/resources.hpp>
 #include <coltsfootrack/config/new_key.hpp>
@@ -8,7 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // Builds the JSON of a ticket object by object.
@@ -56,6 +56,6 @@
     nlohmann::json value_;
 };
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -28,7 +28,7 @@
 endforeach()
 
 # Stand-ins for the platform, workers and runners, one program per folder.
-foreach(program platform worker runner relay)
+foreach(program platform worker runner)
     file(GLOB sources CONFIGURE_DEPENDS test/standins/${program}/*.cpp)
     if(sources)
         add_executable(standin-${program} ${sources})
@@ -48,17 +48,16 @@
 
 # Clusters of real processes: the support library, the demonstration, and the
 # tests that start processes.
-add_library(coltsfootrack-system STATIC
-    test/system/child_process.cpp test/system/cluster.cpp
-    test/system/fleet_checks.cpp test/system/process_usage.cpp
-    test/system/request_load.cpp
-    test/system/sample_ticket.cpp)
-target_include_directories(coltsfootrack-system PUBLIC test/system)
-target_link_libraries(coltsfootrack-system PUBLIC coltsfootrack)
-add_executable(demo test/system/demo.cpp)
-target_link_libraries(demo PRIVATE coltsfootrack-system)
-add_executable(measure_control test/system/measure_control.cpp)
-target_link_libraries(measure_control PRIVATE coltsfootrack-system)
+add_library(coltsfootrack-cluster STATIC
+    bench/cluster/child_process.cpp bench/cluster/cluster.cpp
+    bench/cluster/fleet_checks.cpp bench/cluster/process_usage.cpp
+    bench/cluster/request_load.cpp bench/cluster/sample_ticket.cpp)
+target_include_directories(coltsfootrack-cluster PUBLIC bench/cluster)
+target_link_libraries(coltsfootrack-cluster PUBLIC coltsfootrack)
+add_executable(demo bench/cluster/demo.cpp)
+target_link_libraries(demo PRIVATE coltsfootrack-cluster)
+add_executable(measure_control bench/cluster/measure_control.cpp)
+target_link_libraries(measure_control PRIVATE coltsfootrack-cluster)
 
 # The invariants across real processes. tools/check-system runs each test in a
 # process of its own; sanitizers would slow the daemons below their leases.
@@ -67,7 +66,7 @@
     add_executable(test-system ${system_tests} test/system/fleet_driver.cpp
         test/system/tcp_relay.cpp)
     target_link_libraries(test-system PRIVATE
-        coltsfootrack-test-main coltsfootrack-system)
+        coltsfootrack-test-main coltsfootrack-cluster)
     add_dependencies(test-system coltsfootrackd standin-platform
         standin-worker standin-runner)
 endif()
--- a/include/coltsfootrack/daemon/blocking_store.hpp
+++ b/include/coltsfootrack/daemon/blocking_store.hpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/store/table_client.hpp>
 
 #include <absl/status/statusor.h>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -14,10 +15,11 @@
 absl::StatusOr<store::read_result> read_and_wait(store::table_client& table,
                                                  std::vector<std::string> keys);
 
-// Commits and waits for the first outcome; for connection threads only. An
-// unknown outcome is returned as it is.
-store::commit_outcome commit_and_wait(store::table_client& table,
-                                      store::mutation change);
+// Commits and waits for the first outcome; for connection threads only. If that
+// is unknown, `on_late` gets the final outcome later, on the commit thread.
+store::commit_outcome
+commit_and_wait(store::table_client& table, store::mutation change,
+                std::function<void(const store::commit_outcome&)> on_late = {});
 
 } // namespace coltsfootrack::daemon
 
--- a/src/daemon/blocking_store.cpp
+++ b/src/daemon/blocking_store.cpp
@@ -26,8 +26,9 @@
     return answer.get();
 }
 
-store::commit_outcome commit_and_wait(store::table_client& table,
-                                      store::mutation change)
+store::commit_outcome
+commit_and_wait(store::table_client& table, store::mutation change,
+                std::function<void(const store::commit_outcome&)> on_late)
 {
     using result = store::commit_outcome;
     struct state
@@ -38,16 +39,20 @@
     auto shared = std::make_shared<state>();
     auto answer = shared->promise.get_future();
     // The callback runs on one thread; it is called again when an unknown
-    // outcome becomes known, which is too late for the caller.
-    const absl::Status status =
-        table.submit(std::move(change),
-                     [shared](const result& outcome)
-                     {
-                         if (!std::exchange(shared->done, true))
-                         {
-                             shared->promise.set_value(outcome);
-                         }
-                     });
+    // outcome becomes known.
+    const absl::Status status = table.submit(
+        std::move(change),
+        [shared, on_late = std::move(on_late)](const result& outcome)
+        {
+            if (!std::exchange(shared->done, true))
+            {
+                shared->promise.set_value(outcome);
+            }
+            else if (on_late)
+            {
+                on_late(outcome);
+            }
+        });
     if (!status.ok())
     {
         result refused;
--- a/src/daemon/request_api.cpp
+++ b/src/daemon/request_api.cpp
@@ -3,7 +3,7 @@
 
 #include <coltsfootrack/base/hex_token.hpp>
 #include <coltsfootrack/base/log.hpp>
-#include <coltsfootrack/daemon/blocking_store.hpp>
+#include <coltsfootrack/daemon/idempotency_claimer.hpp>
 #include <coltsfootrack/daemon/request_api.hpp>
 #include <coltsfootrack/http/json_response.hpp>
 #include <coltsfootrack/routing/idempotency_state.hpp>
@@ -67,19 +67,6 @@
                        });
 }
 
-http::response replayed(const routing::idempotency_row& row)
-{
-    http::response answer;
-    answer.status = static_cast<int>(row.http_status);
-    answer.body = row.body;
-    if (!row.content_type.empty())
-    {
-        answer.headers.add("Content-Type", row.content_type);
-    }
-    answer.headers.add("X-Replayed", "true");
-    return answer;
-}
-
 } // namespace
 
 // One request on its way.
@@ -93,13 +80,8 @@
     base::time_point deadline;
     std::vector<base::runner_id> excluded;
     http::response answer;
-    // The claim on the idempotency row, once it was made.
-    std::string row_key;
-    store::version row_version = 0;
-    std::optional<routing::idempotency_row> row;
-    std::optional<http::response> replay;
-    // The client of the session under which the claim was made.
-    std::shared_ptr<store::table_client> table;
+    // The claim on the idempotency row, once it was tried.
+    std::optional<idempotency_claimer> claim;
 };
 
 request_api::request_api(const config::daemon_settings& settings,
@@ -211,11 +193,7 @@
                   traits.deadline,
                   {},
                   {},
-                  {},
-                  0,
-                  {},
-                  {},
-                  {}};
+                  std::nullopt};
     http::response answer = run(work);
     metrics_.observe_request(
         std::chrono::duration<double>(clock_.now() - start).count());
@@ -244,9 +222,9 @@
             step = now >= work.deadline ? work.flow.deadline_passed(now)
                                         : work.flow.wait_ended(now);
         }
-        if (work.replay)
+        if (work.claim && work.claim->replay())
         {
-            return *std::move(work.replay);
+            return *work.claim->replay();
         }
     }
     const auto& end = std::get<routing::final_step>(step);
@@ -262,74 +240,23 @@
 
 routing::request_step request_api::claim(exchange& work)
 {
-    const auto fail = [this, &work](base::error_kind reason)
-    {
-        return work.flow.claim_failed(reason, clock_.now());
-    };
-    work.table = store_.table();
-    work.row_key = "idem/" + work.team.text() + "/" + work.idempotency_key;
     routing::idempotency_claim request;
     {
         const std::lock_guard<std::mutex> lock(random_mutex_);
         request.token = base::hex_token(random_);
     }
     request.daemon = settings_.id;
+    request.incarnation = incarnation_number(store_.incarnation());
     request.content = routing::content_hash(work.service.name.text(), "POST",
                                             work.message.body);
-    while (clock_.now() < work.deadline)
-    {
-        const auto rows = read_and_wait(*work.table, {work.row_key});
-        if (!rows.ok())
-        {
-            return fail(base::kind_of(rows.status()));
-        }
-        std::optional<routing::idempotency_row> known;
-        const store::row* row = rows->find(work.row_key);
-        if (row != nullptr)
-        {
-            auto parsed = routing::idempotency_row_from_json(row->value.dump());
-            if (!parsed.ok())
-            {
-                return fail(base::error_kind::internal);
-            }
-            known = *std::move(parsed);
-        }
-        const auto decision =
-            routing::idempotency_state(known).claim(request, clock_.wall());
-        if (const auto* refusal = std::get_if<routing::refuse_claim>(&decision))
-        {
-            return fail(refusal->reason);
-        }
-        if (const auto* replay =
-                std::get_if<routing::replay_outcome>(&decision))
-        {
-            work.replay = replayed(replay->row);
-            return fail(base::error_kind::already_exists);
-        }
-        if (std::holds_alternative<routing::claim_held>(decision))
-        {
-            work.row = known;
-            work.row_version = row->version;
-            return work.flow.claim_succeeded(clock_.now());
-        }
-        const auto& write = std::get<routing::write_claim>(decision);
-        store::mutation change;
-        change.require(work.row_key, row == nullptr ? 0 : row->version)
-            .put(work.row_key,
-                 nlohmann::json::parse(routing::to_json(write.row)));
-        const auto outcome = commit_and_wait(*work.table, std::move(change));
-        if (outcome.committed())
-        {
-            work.row = write.row;
-            work.row_version = outcome.version;
-            return work.flow.claim_succeeded(clock_.now());
-        }
-        if (outcome.result == store::commit_outcome::result::unavailable)
-        {
-            return fail(outcome.reason);
-        }
-    }
-    return fail(base::error_kind::store_unavailable);
+    work.claim.emplace(store_.table(), clock_,
+                       "idem/" + work.team.text() + "/" + work.idempotency_key,
+                       request);
+    work.claim->acquire(work.deadline);
+    const auto now = clock_.now();
+    return work.claim->held()
+               ? work.flow.claim_succeeded(now)
+               : work.flow.claim_failed(work.claim->refusal(), now);
 }
 
 routing::request_step request_api::send(exchange& work)
@@ -441,32 +368,16 @@
 
 void request_api::record(exchange& work, bool succeeded)
 {
-    if (!work.row)
-    {
-        return;
-    }
-    const routing::idempotency_state state(work.row);
-    const auto wall = clock_.wall();
-    auto next =
-        work.flow.proved_not_run() ? state.release(work.row->token, wall)
-        : succeeded
-            ? state.complete(
-                  work.row->token,
-                  static_cast<std::uint32_t>(work.answer.status),
-                  std::string(work.answer.headers.value("Content-Type")),
-                  work.answer.body, wall)
-            : state.lose(work.row->token, wall);
-    if (!next.ok())
+    using ending = idempotency_claimer::ending;
+    if (!work.claim || !work.claim->held())
     {
         return;
     }
-    store::mutation change;
-    change.require(work.row_key, work.row_version)
-        .put(work.row_key, nlohmann::json::parse(routing::to_json(*next)));
-    const auto outcome = commit_and_wait(*work.table, std::move(change));
-    if (!outcome.committed())
+    const ending how = work.flow.proved_not_run() ? ending::released
+                       : succeeded                ? ending::completed
+                                                  : ending::lost;
+    if (!work.claim->record(how, work.answer))
     {
-        // The row stays claimed, so a repeat of the key is never sent again.
         metrics_.count_event("idempotency_record_failed");
     }
 }
--- a/test/system/configuration_test.cpp
+++ b/test/system/configuration_test.cpp
@@ -15,7 +15,7 @@
 #include <mutex>
 #include <thread>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -265,4 +265,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(configuration_test);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/fleet_driver.cpp
+++ b/test/system/fleet_driver.cpp
@@ -7,7 +7,7 @@
 #include <chrono>
 #include <cppunit/TestAssert.h>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -244,4 +244,4 @@
     return body.is_object() && body.value("execution", "") == "did_not_run";
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/fleet_driver.hpp
+++ b/test/system/fleet_driver.hpp
@@ -12,7 +12,7 @@
 #include <string>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // A started cluster of one system test, with the calls that the tests share.
@@ -80,6 +80,6 @@
 // Whether the answer claims that the work did not run.
 bool says_did_not_run(const http::response& answer);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
--- a/test/system/lifecycle_test.cpp
+++ b/test/system/lifecycle_test.cpp
@@ -12,7 +12,7 @@
 #include <thread>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -271,4 +271,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(lifecycle_test);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/ownership_test.cpp
+++ b/test/system/ownership_test.cpp
@@ -9,7 +9,7 @@
 #include <csignal>
 #include <fmt/core.h>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -150,4 +150,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ownership_test);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/quota_test.cpp
+++ b/test/system/quota_test.cpp
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -158,4 +158,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(quota_test);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/request_test.cpp
+++ b/test/system/request_test.cpp
@@ -14,7 +14,7 @@
 #include <thread>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -288,4 +288,4 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(request_test);
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/tcp_relay.cpp
+++ b/test/system/tcp_relay.cpp
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 namespace
 {
@@ -157,4 +157,4 @@
     }
 }
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
--- a/test/system/tcp_relay.hpp
+++ b/test/system/tcp_relay.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <thread>
 
-namespace coltsfootrack::system_test
+namespace coltsfootrack::local_cluster
 {
 
 // Forwards TCP connections from a port on loopback to a target. While it is
@@ -50,6 +50,6 @@
     std::thread thread_;
 };
 
-} // namespace coltsfootrack::system_test
+} // namespace coltsfootrack::local_cluster
 
 #endif
