Write finished tasks as ranges and repeat lost job notices

The row of a large job grew with each finished task and was written each time; all job rows of a zone were read every 10 s, 140 KB at 400 jobs, which is more than the control traffic of a daemon may be. Change: ranges of finished tasks; job rows are read once a minute; a notice that cannot be sent is repeated each second while the owner changes. Conclusion: the cost of known jobs does not grow with their number between refreshes.

--- a/include/coltsfootrack/daemon/daemon_process.hpp
+++ b/include/coltsfootrack/daemon/daemon_process.hpp
@@ -65,6 +65,8 @@
     std::string http_address(const base::daemon_id& daemon) const;
 
     void notify_owner(const base::zone_id& zone, const base::job_id& job);
+    void send_notice(const base::zone_id& zone, const base::job_id& job,
+                     int attempt);
     void on_message(const base::daemon_id& from, const wire::message& value);
     void on_heartbeat(const base::daemon_id& from,
                       const wire::heartbeat& value);
--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -17,7 +17,11 @@
 constexpr std::size_t call_threads = 8;
 constexpr std::chrono::seconds heartbeat_interval{2};
 constexpr std::chrono::seconds usage_interval{10};
-constexpr std::chrono::seconds refresh_interval{10};
+// Finds jobs whose notice was lost. Reading the rows of 400 jobs takes 140 KB,
+// so a shorter interval would use most of the control traffic.
+constexpr std::chrono::seconds refresh_interval{60};
+constexpr std::chrono::seconds notice_retry{1};
+constexpr int max_notices = 10;
 constexpr std::chrono::milliseconds scheduler_interval{50};
 constexpr std::chrono::seconds responsive_period{8};
 // How long a shutdown waits: for the balancer to see the failed health check,
@@ -279,21 +283,31 @@
 
 void daemon_process::notify_owner(const base::zone_id& zone,
                                   const base::job_id& job)
+{
+    loop_.post([this, zone, job] { send_notice(zone, job, 1); });
+}
+
+void daemon_process::send_notice(const base::zone_id& zone,
+                                 const base::job_id& job, int attempt)
 {
     const auto status = published_.zone(zone, clock_.now());
-    if (status && status->owner != settings_.id)
+    if (scheduler_ && zone == settings_.zone)
     {
-        peers_->send(status->owner, wire::job_notice{zone, job});
+        scheduler_->on_job_notice(job);
         return;
     }
-    loop_.post(
-        [this, job]
-        {
-            if (scheduler_)
-            {
-                scheduler_->on_job_notice(job);
-            }
-        });
+    if (status && status->owner != settings_.id &&
+        peers_->send(status->owner, wire::job_notice{zone, job}))
+    {
+        return;
+    }
+    // The owner is changing or not connected. It reads the row when it takes
+    // over, and otherwise after refresh_interval.
+    if (attempt < max_notices)
+    {
+        loop_.after(notice_retry, [this, zone, job, attempt]
+                    { send_notice(zone, job, attempt + 1); });
+    }
 }
 
 void daemon_process::on_message(const base::daemon_id& from,
--- a/src/daemon/job_record.cpp
+++ b/src/daemon/job_record.cpp
@@ -41,6 +41,41 @@
     return placement::job_kind::batch;
 }
 
+// Pairs of first and last index, since tasks finish roughly in order and a job
+// may have 10,000 of them.
+nlohmann::json write_ranges(const std::set<std::uint32_t>& indexes)
+{
+    auto ranges = nlohmann::json::array();
+    for (const std::uint32_t index : indexes)
+    {
+        if (!ranges.empty() &&
+            ranges.back()[1].get<std::uint32_t>() + 1 == index)
+        {
+            ranges.back()[1] = index;
+        }
+        else
+        {
+            ranges.push_back({index, index});
+        }
+    }
+    return ranges;
+}
+
+std::set<std::uint32_t> read_ranges(const nlohmann::json& ranges)
+{
+    std::set<std::uint32_t> indexes;
+    for (const nlohmann::json& range : ranges)
+    {
+        const auto last = range.at(1).get<std::uint32_t>();
+        for (auto index = range.at(0).get<std::uint32_t>(); index <= last;
+             ++index)
+        {
+            indexes.insert(indexes.end(), index);
+        }
+    }
+    return indexes;
+}
+
 std::int64_t to_ms(base::duration span)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
@@ -61,7 +96,7 @@
             {"state", record.state},
             {"detail", record.detail},
             {"cancelled", record.cancelled},
-            {"finished", record.finished}};
+            {"finished", write_ranges(record.finished)}};
 }
 
 absl::StatusOr<job_record> job_record_from_json(const std::string& id,
@@ -86,7 +121,7 @@
         record.state = value.at("state").get<std::string>();
         record.detail = value.value("detail", std::string());
         record.cancelled = value.at("cancelled").get<bool>();
-        record.finished = value.at("finished").get<std::set<std::uint32_t>>();
+        record.finished = read_ranges(value.at("finished"));
         return record;
     }
     catch (const nlohmann::json::exception& error)
