--- a/src/daemon/daemon_process.cpp
+++ b/src/daemon/daemon_process.cpp
@@ -16,10 +16,12 @@
 constexpr std::size_t event_capacity = 65536;
 constexpr std::size_t call_threads = 8;
 constexpr std::chrono::seconds heartbeat_interval{2};
-constexpr std::chrono::seconds usage_interval{10};
-// Finds jobs whose notice was lost. Reading the rows of 400 jobs takes 140 KB,
-// so a shorter interval would use most of the control traffic.
-constexpr std::chrono::seconds refresh_interval{60};
+// For status only. At 100 teams a report to five owners takes about 30 KB.
+constexpr std::chrono::seconds usage_interval{60};
+// Finds jobs whose notice was lost because the daemon that wrote them died.
+// Reading the rows of 400 jobs takes 140 KB, so a shorter interval would use
+// much of the control traffic.
+constexpr std::chrono::seconds refresh_interval{300};
 constexpr std::chrono::seconds notice_retry{1};
 constexpr int max_notices = 10;
 constexpr std::chrono::milliseconds scheduler_interval{50};
--- a/src/daemon/job_api.cpp
+++ b/src/daemon/job_api.cpp
@@ -316,6 +316,11 @@
         return refuse(
             base::make_error(base::error_kind::already_exists, "job " + id));
     }
+    if (!known->ended)
+    {
+        // The first submission may have ended before its notice was sent.
+        notify_(known->zone, record.spec.id);
+    }
     return http::json_response(200, describe(known->zone, id, known->record));
 }
 
--- a/test/coordination/model_daemon.hpp
+++ b/test/coordination/model_daemon.hpp
@@ -39,9 +39,9 @@
     // The usable slice; nothing while the daemon may not act.
     base::resources usable() const;
 
-    const base::daemon_id id;
-    const base::zone_id zone_id;
-    const std::string incarnation;
+    base::daemon_id id;
+    base::zone_id zone_id;
+    std::string incarnation;
     zone_ownership zone;
     config_freshness freshness;
 
