Count tasks that ended while their zone had no owner

Cause: found in the read-through. A successor did not know the tasks that had ended before it adopted their worker, and started them again; their reported ends were dropped because their tokens were not booked. Ruled out: the end of the task in the answer to adopt; workers repeat their reports already. Change: starts wait 2 s after a takeover in any case, and the end of a task that is not started counts even if its start is not known. Two names and comments in placement and routing use the usual terms. Conclusion: a failed owner costs 2 s more before the first start and no second run of finished tasks.

--- a/include/coltsfootrack/placement/scheduler_options.hpp
+++ b/include/coltsfootrack/placement/scheduler_options.hpp
@@ -39,7 +39,7 @@
     base::duration preemption_grace = std::chrono::seconds(2);
     // The time after which room being freed for an urgent task is given up and
     // sought elsewhere.
-    base::duration preemption_patience = std::chrono::milliseconds(2600);
+    base::duration preemption_timeout = std::chrono::milliseconds(2600);
     // The grace of tasks of cancelled and condemned jobs. They save nothing,
     // and a long grace would keep a full fleet from urgent work.
     base::duration cancel_grace = std::chrono::seconds(2);
--- a/include/coltsfootrack/routing/request_traits.hpp
+++ b/include/coltsfootrack/routing/request_traits.hpp
@@ -15,7 +15,7 @@
     bool idempotent = false;
     // Whether an idempotency row must be claimed before anything is sent.
     bool needs_claim = false;
-    // When the caller's patience ends.
+    // The time after which the caller no longer waits for an answer.
     base::time_point deadline;
     // The most times that the request is sent, not counting the sendings that
     // were refused as full.
--- a/src/daemon/zone_scheduler.cpp
+++ b/src/daemon/zone_scheduler.cpp
@@ -15,8 +15,9 @@
 {
 
 constexpr auto part = "scheduler";
-// After a takeover, starts wait this long for the answers of the workers, so
-// that tasks which still run are not started again elsewhere.
+// After a takeover, starts wait this long for the workers' answers and for the
+// ends that they could not report to the former owner. Workers repeat their
+// reports every 0.5 s.
 constexpr std::chrono::seconds adoption_wait{2};
 constexpr std::chrono::milliseconds quota_interval{200};
 constexpr std::chrono::seconds claim_retry{1};
@@ -356,8 +357,7 @@
     {
         return false;
     }
-    return workers_->pending() == 0 ||
-           shared_.clock.now() - started_ > adoption_wait;
+    return shared_.clock.now() - started_ > adoption_wait;
 }
 
 void zone_scheduler::place()
--- a/src/daemon/zone_scheduler_rows.cpp
+++ b/src/daemon/zone_scheduler_rows.cpp
@@ -171,6 +171,14 @@
     {
         known = scheduler_.report_finished(task.task, task.token, now);
         const auto job = jobs_.find(task.task.job.text());
+        if (!known && job != jobs_.end() && !job->second.record.ended() &&
+            placed_.count(task.task) == 0)
+        {
+            // The task finished while the zone had no owner and was not started
+            // again: its start is not known here, its end counts.
+            scheduler_.restore_finished(task.task);
+            known = true;
+        }
         if (known && job != jobs_.end())
         {
             job->second.record.finished.insert(task.task.index);
--- a/src/placement/core_preempt.cpp
+++ b/src/placement/core_preempt.cpp
@@ -116,8 +116,7 @@
     // is overdue is not counted on again.
     const base::time_point end = booked.stopping_since + booked.grace;
     return booked.stopping && end <= now_ + options_.preemption_grace &&
-           now_ - end <
-               options_.preemption_patience - options_.preemption_grace;
+           now_ - end < options_.preemption_timeout - options_.preemption_grace;
 }
 
 base::resources
@@ -255,7 +254,7 @@
     }
     job_record& job = jobs_[place];
     holds_.push_back(
-        {place, worker, job.size, now_ + options_.preemption_patience});
+        {place, worker, job.size, now_ + options_.preemption_timeout});
     fleet_.hold(worker, job.size);
     teams_[job.team].held += job.size;
     ++job.holds;
--- a/test/coordination/model_world.hpp
+++ b/test/coordination/model_world.hpp
@@ -19,8 +19,8 @@
 {
 
 // An event-driven world of two zones with three daemons each, a table and an
-// unreliable network. After each event it compares what the daemons believe
-// with the table and records the first violation.
+// unreliable network. After each event it compares what the daemons hold to be
+// true with the table and records the first violation.
 //
 // Real time is a duration from 0. Each VM's clock has a random offset and runs
 // up to 1% fast or slow.
--- a/test/system/ownership_test.cpp
+++ b/test/system/ownership_test.cpp
@@ -48,6 +48,7 @@
 {
     CPPUNIT_TEST_SUITE(ownership_test);
     CPPUNIT_TEST(owner_paused_past_lease_keeps_capacity_and_exclusivity);
+    CPPUNIT_TEST(tasks_that_end_without_owner_are_not_started_again);
     CPPUNIT_TEST(claim_answers_lost_keeps_exclusivity);
     CPPUNIT_TEST(worker_cut_off_restarts_task_only_after_its_end);
     CPPUNIT_TEST_SUITE_END();
@@ -93,6 +94,28 @@
         driver.check_workers(limits);
     }
 
+    // Guards against a successor that starts a task again although it finished
+    // while the zone had no owner.
+    void tasks_that_end_without_owner_are_not_started_again()
+    {
+        fleet_driver driver("ended-without-owner", one_zone(2));
+        const std::string key = set_up(driver, 4000, 8);
+        driver.wait_candidate("a1");
+        const int owner = driver.fleet().owner_of("a1");
+        CPPUNIT_ASSERT(owner >= 0);
+        const auto first = static_cast<std::size_t>(owner);
+        driver.submit({first}, "restore", key, "once");
+        CPPUNIT_ASSERT(cluster::wait_for(
+            [&] { return driver.running_tasks("once") == 8; }, seconds(20)));
+        // The lease of the owner is longer than the tasks run.
+        driver.fleet().daemons()[first].process->kill();
+        CPPUNIT_ASSERT(cluster::wait_for(
+            [&] { return driver.finished("once"); }, seconds(60)));
+        CPPUNIT_ASSERT_EQUAL(
+            8, count_starts(driver.fleet().worker_history(), "once"));
+        driver.check_workers(limits);
+    }
+
     // Guards against a task that is started twice because the write of its
     // claim took effect and the answer was lost.
     void claim_answers_lost_keeps_exclusivity()
