--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -2,7 +2,7 @@
 file(GLOB COLTSFOOTRACK_SOURCES CONFIGURE_DEPENDS
     src/base/*.cpp src/config/*.cpp src/coordination/*.cpp
     src/placement/*.cpp src/routing/*.cpp src/wire/*.cpp src/http/*.cpp
-    src/store/*.cpp)
+    src/store/*.cpp src/jobs/*.cpp src/fleet/*.cpp)
 add_library(coltsfootrack STATIC ${COLTSFOOTRACK_SOURCES})
 target_include_directories(coltsfootrack PUBLIC
     $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/include>
@@ -33,6 +33,22 @@
     install(TARGETS coltsfootrack-cli)
 endif()
 
+# The daemon of a cell on the users' platform: the runtime of the cell, and the
+# adapter that speaks the platform's protocols.
+file(GLOB COLTSFOOTRACK_CELL_SOURCES CONFIGURE_DEPENDS src/cell/*.cpp)
+add_library(coltsfootrack-cell STATIC ${COLTSFOOTRACK_CELL_SOURCES})
+target_link_libraries(coltsfootrack-cell PUBLIC coltsfootrack-daemon)
+file(GLOB COLTSFOOTRACK_PLATFORM_SOURCES CONFIGURE_DEPENDS platform/*.cpp)
+list(REMOVE_ITEM COLTSFOOTRACK_PLATFORM_SOURCES
+    ${PROJECT_SOURCE_DIR}/platform/main.cpp)
+add_library(coltsfootrack-platform STATIC ${COLTSFOOTRACK_PLATFORM_SOURCES})
+target_include_directories(coltsfootrack-platform PUBLIC
+    ${PROJECT_SOURCE_DIR}/platform)
+target_link_libraries(coltsfootrack-platform PUBLIC coltsfootrack-cell)
+add_executable(coltsfootrack-celld platform/main.cpp)
+target_link_libraries(coltsfootrack-celld PRIVATE coltsfootrack-platform)
+install(TARGETS coltsfootrack-celld)
+
 install(TARGETS coltsfootrack EXPORT coltsfootrack-targets)
 install(DIRECTORY include/ DESTINATION ${CMAKE_INSTALL_INCLUDEDIR}
     PATTERN daemon EXCLUDE)
--- /dev/null
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -0,0 +1,184 @@
+#ifndef COLTSFOOTRACK_CELL_CELL_DAEMON_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_CELL_DAEMON_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/cell/cell_options.hpp>
+#include <coltsfootrack/cell/job_table.hpp>
+#include <coltsfootrack/cell/leader_election.hpp>
+#include <coltsfootrack/cell/leadership.hpp>
+#include <coltsfootrack/cell/ports.hpp>
+#include <coltsfootrack/cell/row_committer.hpp>
+#include <coltsfootrack/cell/table_follower.hpp>
+#include <coltsfootrack/cell/ticket_dispatcher.hpp>
+#include <coltsfootrack/daemon/control_loop.hpp>
+#include <coltsfootrack/daemon/metrics.hpp>
+#include <coltsfootrack/wire/peer_links.hpp>
+
+#include <absl/status/status.h>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// A daemon of a cell: a group of entry VMs that serve the same workers. Any
+// daemon takes jobs and answers for them; one of them, the leader, decides what
+// runs where.
+//
+//     cell_daemon daemon(options, ports, clock);
+//     absl::Status status = daemon.start();
+//     daemon.submit(id, submission, [](absl::Status stored) { ... });
+//     ...
+//     daemon.hand_over();  // before a planned stop
+//
+// Thread safety: the functions may be called from any thread, except start and
+// the destructor. Callbacks run on the control thread.
+class cell_daemon
+{
+public:
+    using status_callback = std::function<void(absl::Status)>;
+    using state_callback = std::function<void(absl::StatusOr<jobs::job_state>)>;
+
+    cell_daemon(const cell_options& options, ports outside,
+                const base::clock& clock);
+    cell_daemon(const cell_daemon&) = delete;
+    cell_daemon& operator=(const cell_daemon&) = delete;
+
+    // Ends the threads. The ports must give no callback afterwards, or ignore
+    // the end of the process.
+    ~cell_daemon();
+
+    // Starts the control thread and listens for peers; invalid_settings if the
+    // peer address cannot be used.
+    absl::Status start();
+
+    // The newest catalogue that is known here; null before the first.
+    std::shared_ptr<const fleet::catalogue> catalogue() const;
+
+    // Whether callers are served: a catalogue is known, and the daemon is not
+    // being stopped.
+    bool ready() const;
+
+    // Stores a job. OK also if the id is known already. store_unavailable and
+    // overloaded say that it will never run by this call; outcome_unknown that
+    // it may.
+    void submit(const base::job_id& id, const jobs::job_submission& job,
+                status_callback done);
+
+    // Stores a cancellation; not_found if there is no such job.
+    void cancel(const base::job_id& id, status_callback done);
+
+    // The state of a job; not_found, or store_unavailable if nobody who knows
+    // can be asked.
+    void state(const base::job_id& id, state_callback done);
+
+    // The accepted jobs of a queue of which no task has started; nothing if
+    // the leader has not told it for a while.
+    std::optional<int> waiting(const std::string& queue) const;
+
+    // Lets another daemon lead, and reports not ready from now on.
+    void hand_over();
+
+    daemon::metrics& counters()
+    {
+        return metrics_;
+    }
+
+    const base::clock& clock() const
+    {
+        return clock_;
+    }
+
+private:
+    struct published
+    {
+        std::shared_ptr<const fleet::catalogue> catalogue;
+        std::map<std::string, int> waiting;
+        base::time_point waiting_at;
+        bool waiting_known = false;
+        bool stopping = false;
+    };
+
+    struct question
+    {
+        base::job_id job;
+        state_callback done;
+    };
+
+    struct ticket_question
+    {
+        base::daemon_id peer;
+        std::function<void(std::optional<std::vector<fleet::ticket_grant>>)>
+            done;
+    };
+
+    void follow_cell();
+    void follow_catalogue();
+    void take_cell_rows(const std::vector<stored_row>& rows, bool all);
+    void take_catalogue(const std::string& document, const char* from);
+    void register_member();
+    void on_message(const base::daemon_id& peer, const wire::message& value);
+    void handle(const base::daemon_id& peer, const wire::cell_status& m);
+    void handle(const base::daemon_id& peer, const wire::catalogue_copy& m);
+    void handle(const base::daemon_id& peer, const wire::job_copy& m);
+    void handle(const base::daemon_id& peer, const wire::cancel_notice& m);
+    void handle(const base::daemon_id& peer, const wire::state_query& m);
+    void handle(const base::daemon_id& peer, const wire::state_answer& m);
+    void handle(const base::daemon_id& peer, const wire::ticket_query& m);
+    void handle(const base::daemon_id& peer, const wire::ticket_answer& m);
+
+    template <class Other>
+    void handle(const base::daemon_id& /*peer*/, const Other& /*message*/)
+    {
+        // Messages of the zone scheduler have no meaning in a cell.
+    }
+
+    void send_status();
+    void elect();
+    void write_claim(const leader_row& claim);
+    void lead(std::uint64_t epoch);
+    void step_down(const std::string& reason);
+    void commit();
+    void tell_leader(const wire::message& value);
+    void ask_tickets(
+        const fleet::ticket_order& next,
+        std::function<void(std::optional<std::vector<fleet::ticket_grant>>)>
+            done);
+    void state_from_store(const base::job_id& id, state_callback done);
+    void note_store(bool answered, std::chrono::milliseconds delay);
+    void publish_waiting(const std::map<std::string, int>& counts);
+
+    cell_options options_;
+    ports outside_;
+    const base::clock& clock_;
+    job_table table_;
+    daemon::metrics metrics_;
+    daemon::control_loop loop_;
+    leader_election election_;
+    ticket_dispatcher dispatcher_;
+    std::vector<row_committer> committers_;
+    std::unique_ptr<table_follower> cell_;
+    std::unique_ptr<table_follower> catalogues_;
+    std::unique_ptr<leadership> leadership_;
+    std::map<base::daemon_id, wire::peer_address> members_;
+    std::map<std::uint64_t, question> questions_;
+    std::map<std::uint64_t, ticket_question> ticket_questions_;
+    std::uint64_t next_nonce_ = 1;
+    bool claiming_ = false;
+    bool store_up_ = false;
+    mutable std::mutex mutex_;
+    published published_;
+    std::unique_ptr<wire::peer_links> links_;
+    std::thread control_;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -0,0 +1,70 @@
+#ifndef COLTSFOOTRACK_CELL_CELL_OPTIONS_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_CELL_OPTIONS_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/fleet/fleet_options.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+namespace coltsfootrack::cell
+{
+
+// The settings of a daemon of a cell.
+struct cell_options
+{
+    using milliseconds = std::chrono::milliseconds;
+
+    base::daemon_id daemon;
+    base::zone_id zone;
+    // Differs for each start of the process.
+    std::uint64_t incarnation = 0;
+    // Where other daemons connect: a numeric address and a free port.
+    std::string address;
+    std::uint16_t peer_port = 0;
+
+    // The parts that jobs are spread over. Each takes 200 transactions a second
+    // on the platform, and each costs a write and three reads at a takeover.
+    std::size_t job_parts = 4;
+
+    fleet::fleet_options fleet;
+
+    // The state that a daemon tells its peers, and on which the detection of a
+    // lost leader rests.
+    milliseconds status_period{250};
+    // How long a read of changes waits for one. A connection that has gone
+    // silent is noticed after this time and the timeout of the store.
+    milliseconds follow_wait{1500};
+    // The pause after a read of changes of jobs or workers, so that changes
+    // are taken in groups.
+    milliseconds follow_pause{250};
+    // How long a worker's answer waits for an end.
+    milliseconds renewal_wait{1000};
+    // Between two renewals of a worker that has ends which are not stored yet,
+    // and between two attempts at one that does not answer.
+    milliseconds renewal_pause{250};
+    // Decisions are made at most this often, so that events in a burst share
+    // one.
+    milliseconds step_pause{8};
+    // And at least this often.
+    milliseconds step_period{50};
+    // A submission that the store does not answer is given up after this; the
+    // platform's callers wait 3 s.
+    milliseconds submit_limit{2300};
+    // The leader answers a question about a job within this time, or the store
+    // is asked.
+    milliseconds query_limit{400};
+    // Final jobs are forgotten after this; the platform asks for 120 s.
+    milliseconds forget_after{150000};
+    // A request for tickets is given up this long after its expected time.
+    milliseconds ticket_slack{900};
+    // Requests for tickets that take longer leave one caller free for short
+    // ones.
+    milliseconds long_ticket{100};
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/election_options.hpp
@@ -0,0 +1,37 @@
+#ifndef COLTSFOOTRACK_CELL_ELECTION_OPTIONS_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_ELECTION_OPTIONS_HPP_INCLUDED
+
+#include <chrono>
+
+namespace coltsfootrack::cell
+{
+
+// When a leader counts as lost, and who follows it. The figures rest on the
+// status period of 250 ms and the aim of a first start within 3 s of a silent
+// loss.
+struct election_options
+{
+    using milliseconds = std::chrono::milliseconds;
+
+    // Without a status for this long the leader is lost: four are missing.
+    milliseconds silence{1200};
+    // With a broken connection it is lost after this.
+    milliseconds link_grace{200};
+    // A leader without an answer of the store for this long hands over to a
+    // daemon that has had one within store_fresh.
+    milliseconds store_silence{1500};
+    milliseconds store_fresh{700};
+    // A peer that heard from the leader within this time vouches for it.
+    milliseconds second_hand{700};
+    // A peer whose status is older does not count as a candidate.
+    milliseconds candidate_age{900};
+    // Each better candidate gets this long to go first.
+    milliseconds rank_pause{200};
+    // Delays of the store are compared in steps of this, so that daemons of one
+    // region count as equal.
+    milliseconds delay_step{10};
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/job_table.hpp
@@ -0,0 +1,66 @@
+#ifndef COLTSFOOTRACK_CELL_JOB_TABLE_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_JOB_TABLE_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/cell/row_id.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// Where a cell keeps its rows. The part and the key of a job follow from its id
+// alone, so that any daemon finds it.
+//
+// | table    | part       | key         | written by                          |
+// | cell     |            | leader      | a daemon that becomes the leader    |
+// | cell     |            | daemon/NAME | that daemon, when it starts         |
+// | cell     | job part   | fence       | a new leader, before it reads jobs  |
+// | jobs     | job part   | ID          | the daemon that took the job        |
+// | jobs     | job part   | ID!         | the daemon that took the cancel     |
+// | progress | job part   | ID          | the leader, on condition of the fence
+// |
+class job_table
+{
+public:
+    static constexpr const char* cell_table = "cell";
+    static constexpr const char* jobs_table = "jobs";
+    static constexpr const char* progress_table = "progress";
+    static constexpr const char* daemon_prefix = "daemon/";
+
+    explicit job_table(std::size_t parts);
+
+    std::size_t parts() const
+    {
+        return names_.size();
+    }
+
+    // The names of all job parts.
+    const std::vector<std::string>& names() const
+    {
+        return names_;
+    }
+
+    // The number of the part of a job.
+    std::size_t part_of(const base::job_id& job) const;
+
+    row_id leader() const;
+    row_id daemon(const base::daemon_id& id) const;
+    row_id fence(std::size_t part) const;
+    row_id job(const base::job_id& id) const;
+    row_id cancel(const base::job_id& id) const;
+    row_id progress(const base::job_id& id) const;
+
+    // The job whose cancellation a key of the jobs table stands for.
+    static std::optional<base::job_id> cancelled_job(const std::string& key);
+
+private:
+    std::vector<std::string> names_;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/leader_election.hpp
@@ -0,0 +1,102 @@
+#ifndef COLTSFOOTRACK_CELL_LEADER_ELECTION_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_LEADER_ELECTION_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/cell/election_options.hpp>
+#include <coltsfootrack/cell/leader_row.hpp>
+#include <coltsfootrack/wire/cell_status.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+
+namespace coltsfootrack::cell
+{
+
+// Decides when this daemon tries to become the leader.
+//
+// Safety does not rest on this class: the leader row changes by a conditional
+// write, and stores and workers refuse a lower epoch. It only has to be quick,
+// and to avoid changes that are not needed. A leader that is lost, stops, or
+// cannot reach a store which others reach is followed by the daemon with the
+// shortest way to the store; the others wait their turn.
+//
+// Thread safety: none.
+class leader_election
+{
+public:
+    leader_election(base::daemon_id self, std::uint64_t incarnation,
+                    const election_options& options);
+
+    // The row was read or written.
+    void on_row(const leader_row& row, base::time_point now);
+
+    // A peer told its status.
+    void on_status(const base::daemon_id& peer, const wire::cell_status& status,
+                   base::time_point now);
+
+    // The connection to a peer came up or went down.
+    void on_link(const base::daemon_id& peer, bool up, base::time_point now);
+
+    // The store answered this daemon after the given delay.
+    void on_store_answer(std::chrono::milliseconds delay, base::time_point now);
+
+    // This daemon is being stopped and does not stand any more.
+    void stop();
+
+    // The row to write now, on condition of the version of the known row.
+    // Nothing while there is a leader or another candidate comes first.
+    std::optional<leader_row> decide(base::time_point now);
+
+    const std::optional<leader_row>& row() const
+    {
+        return row_;
+    }
+
+    // Whether the row names this process.
+    bool is_self() const;
+
+    std::optional<std::chrono::milliseconds>
+    store_age(base::time_point now) const;
+
+    std::optional<std::chrono::milliseconds>
+    leader_age(base::time_point now) const;
+
+    // The mean delay of the store.
+    std::chrono::milliseconds store_delay() const;
+
+    // Whether the leader can be reached: itself, or over a connection that is
+    // up.
+    bool leader_reachable() const;
+
+private:
+    struct peer
+    {
+        bool up = false;
+        base::time_point changed_at;
+        std::optional<wire::cell_status> status;
+        base::time_point status_at;
+    };
+
+    bool vacant(base::time_point now) const;
+    bool vouched_for(base::time_point now) const;
+    int rank(base::time_point now) const;
+    bool better(std::chrono::milliseconds delay,
+                const base::daemon_id& other) const;
+
+    base::daemon_id self_;
+    std::uint64_t incarnation_;
+    election_options options_;
+    std::optional<leader_row> row_;
+    base::time_point row_at_;
+    std::map<base::daemon_id, peer> peers_;
+    std::optional<base::time_point> store_at_;
+    double store_delay_ms_ = 0;
+    std::optional<base::time_point> vacant_since_;
+    bool stopping_ = false;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -0,0 +1,150 @@
+#ifndef COLTSFOOTRACK_CELL_LEADERSHIP_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_LEADERSHIP_HPP_INCLUDED
+
+#include <coltsfootrack/cell/cell_options.hpp>
+#include <coltsfootrack/cell/job_table.hpp>
+#include <coltsfootrack/cell/ports.hpp>
+#include <coltsfootrack/cell/row_committer.hpp>
+#include <coltsfootrack/cell/table_follower.hpp>
+#include <coltsfootrack/daemon/control_loop.hpp>
+#include <coltsfootrack/daemon/metrics.hpp>
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// One epoch of one leader: takes over the stored jobs, follows jobs and
+// workers, carries out what the fleet decides, and renews the leases.
+//
+// It first writes its epoch into every job part, after which no former leader
+// can store progress there, and only then reads the jobs. A former leader that
+// still orders workers is refused by each of them from its first renewal on.
+//
+// Thread safety: belongs to the control thread.
+class leadership
+{
+public:
+    struct hooks
+    {
+        // Another leader has a higher epoch. Called at most once, and not
+        // while a function of this class runs.
+        std::function<void(const std::string& reason)> on_lost;
+        // The committer of a job part.
+        std::function<row_committer&(std::size_t part)> committer;
+        // Sends what waits in the committers.
+        std::function<void()> commit;
+        std::function<fleet::ticket_slots()> ticket_slots;
+        // Asks for tickets, here or at a peer.
+        std::function<void(
+            const fleet::ticket_order&,
+            std::function<void(
+                std::optional<std::vector<fleet::ticket_grant>>)>)>
+            ask_tickets;
+        // Notes an answer of the store, or a failure.
+        std::function<void(bool)> on_store;
+    };
+
+    leadership(daemon::control_loop& loop, const base::clock& clock,
+               const cell_options& options, const ports& outside,
+               const job_table& table, daemon::metrics& counters,
+               std::uint64_t epoch, hooks callbacks);
+
+    ~leadership();
+
+    leadership(const leadership&) = delete;
+    leadership& operator=(const leadership&) = delete;
+
+    // Starts the takeover.
+    void begin();
+
+    void set_catalogue(std::shared_ptr<const fleet::catalogue> value);
+
+    // A daemon stored a job, or a cancellation.
+    void on_job(const base::job_id& id, const std::string& row);
+    void on_cancel(const base::job_id& id);
+
+    // The jobs are loaded.
+    bool loaded() const
+    {
+        return loaded_;
+    }
+
+    std::optional<jobs::job_state> state_of(const base::job_id& job) const;
+
+    std::map<std::string, int> waiting_counts() const;
+
+    std::uint64_t epoch() const
+    {
+        return options_.fleet.epoch;
+    }
+
+    // Decides soon.
+    void request_step();
+
+private:
+    struct renewal
+    {
+        bool in_flight = false;
+        base::time_point next_at;
+    };
+
+    void fence_part(std::size_t part);
+    void write_fence(std::size_t part, std::uint64_t version);
+    void part_fenced(std::size_t part, std::uint64_t version);
+    void load_progress(std::size_t part, const std::string& from);
+    void follow_jobs();
+    void follow_workers();
+    void take_job_rows(const std::vector<stored_row>& rows);
+    void take_worker_rows(const std::vector<stored_row>& rows, bool all);
+    void step();
+    void carry_out(const fleet::start_order& next);
+    void carry_out(const fleet::stop_order& next);
+    void carry_out(const fleet::pace_order& next);
+    void carry_out(const fleet::ticket_order& next);
+    void carry_out(const fleet::save_order& next);
+    void renew_all();
+    void renew(const base::worker_id& id, renewal& state);
+    void on_renewed(const base::worker_id& id, const renewal_result& result);
+    void note_outcome(fleet::order_outcome outcome,
+                      const base::worker_id& worker);
+    void lose(const std::string& reason);
+    std::function<void()> guarded(std::function<void()> action) const;
+
+    template <class Result>
+    std::function<void(Result)>
+    posted(std::function<void(Result)> action) const;
+
+    daemon::control_loop& loop_;
+    const base::clock& clock_;
+    cell_options options_;
+    const ports& outside_;
+    const job_table& table_;
+    daemon::metrics& metrics_;
+    hooks hooks_;
+    fleet::fleet fleet_;
+    std::vector<std::uint64_t> fences_;
+    std::size_t parts_loaded_ = 0;
+    std::map<base::job_id, jobs::job_progress> progress_;
+    std::unique_ptr<table_follower> jobs_;
+    std::unique_ptr<table_follower> workers_;
+    std::map<base::worker_id, renewal> renewals_;
+    std::map<base::job_id, std::string> early_jobs_;
+    std::vector<base::job_id> early_cancels_;
+    bool loaded_ = false;
+    bool lost_ = false;
+    bool step_requested_ = false;
+    base::time_point last_step_;
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/member_row.hpp
@@ -0,0 +1,22 @@
+#ifndef COLTSFOOTRACK_CELL_MEMBER_ROW_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_MEMBER_ROW_HPP_INCLUDED
+
+#include <coltsfootrack/wire/peer_address.hpp>
+
+#include <absl/status/statusor.h>
+#include <string>
+#include <string_view>
+
+namespace coltsfootrack::cell
+{
+
+// The text of the stored row of a daemon: where its peers connect.
+std::string encode_member(const wire::peer_address& value);
+
+// internal if the text is not such a row.
+absl::StatusOr<wire::peer_address> decode_member(const base::daemon_id& daemon,
+                                                 std::string_view text);
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -0,0 +1,119 @@
+#ifndef COLTSFOOTRACK_CELL_ROW_COMMITTER_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_ROW_COMMITTER_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/cell/transaction.hpp>
+#include <coltsfootrack/cell/transaction_result.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// How a write to a row ended.
+enum class write_status
+{
+    stored,
+    // An insert found the row with another value.
+    exists,
+    // Certainly not written, and will not be.
+    refused,
+    // It may have been written, or may be later.
+    unknown,
+    // The fence of the part has changed: another leader writes here.
+    fenced
+};
+
+// Writes rows of one part of the store, with one transaction in flight and all
+// waiting writes in the next one (group commit).
+//
+// A write whose transaction is not answered is sent again under the same
+// conditions. If the first one is applied meanwhile, the repeated one finds its
+// own value and counts as stored; if it is not, it can no longer be, once the
+// repeated one is.
+//
+// The class does no input or output: next() gives the transaction to send, and
+// on_result() takes its answer. Callbacks run inside these calls.
+//
+// Limits: an insert beyond max_waiting is refused at once. Updates are bounded
+// by the rows that the leader writes: one that waits is replaced by a newer one
+// of the same row.
+//
+// Thread safety: none.
+class row_committer
+{
+public:
+    using callback = std::function<void(write_status)>;
+
+    // Transactions hold at most 100 entries on the platform; a write takes
+    // two.
+    static constexpr std::size_t max_batch = 45;
+    static constexpr std::size_t max_waiting = 2000;
+
+    // Writes are refused by a store that is overloaded or down; the next
+    // attempt waits this long.
+    static constexpr std::chrono::milliseconds retry_pause{150};
+
+    // A row that every transaction depends on, with the version that it must
+    // have.
+    void set_fence(std::optional<row_condition> fence);
+
+    // Writes a row that must not exist yet. The callback comes by the deadline
+    // and the timeout of one call.
+    void insert(const row_id& row, std::string value, base::time_point deadline,
+                callback done);
+
+    // Writes a row that only this process writes, whatever it held. The value
+    // replaces one that waits, whose callback then comes with this one.
+    void update(const row_id& row, std::string value, callback done);
+
+    // The version of a row as read, for the next update of it.
+    void set_version(const row_id& row, std::uint64_t version);
+
+    // The next transaction, if one is due and none is in flight.
+    std::optional<transaction> next(base::time_point now);
+
+    void on_result(const transaction_result& result, base::time_point now);
+
+    // Gives up all updates, without callbacks.
+    void drop_updates();
+
+    bool idle() const
+    {
+        return waiting_.empty() && batch_.empty();
+    }
+
+private:
+    struct entry
+    {
+        row_id row;
+        std::string value;
+        bool is_insert = false;
+        // An attempt was not answered.
+        bool uncertain = false;
+        base::time_point deadline;
+        std::vector<callback> done;
+    };
+
+    static void finish(entry& ended, write_status status);
+    void retry(std::vector<entry>& batch, base::time_point now, bool uncertain);
+    bool settle_conflict(entry& next, const stored_row* current);
+
+    std::optional<row_condition> fence_;
+    std::map<row_id, std::uint64_t> versions_;
+    std::deque<entry> waiting_;
+    std::vector<entry> batch_;
+    base::time_point not_before_;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/store_port.hpp
@@ -0,0 +1,42 @@
+#ifndef COLTSFOOTRACK_CELL_STORE_PORT_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_STORE_PORT_HPP_INCLUDED
+
+#include <coltsfootrack/cell/read_result.hpp>
+#include <coltsfootrack/cell/transaction.hpp>
+#include <coltsfootrack/cell/transaction_result.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace coltsfootrack::cell
+{
+
+// The platform's store, as a cell uses it. Every call is answered by its
+// callback within a bounded time, on any thread.
+struct store_port
+{
+    using transaction_callback = std::function<void(transaction_result)>;
+    using read_callback = std::function<void(read_result)>;
+
+    std::function<void(const transaction&, transaction_callback)> transact;
+
+    // The rows of a table and part from the key on (empty: from the first).
+    std::function<void(const std::string& table, const std::string& part,
+                       const std::string& from, read_callback)>
+        read;
+
+    // One row.
+    std::function<void(const row_id&, read_callback)> read_row;
+
+    // The changes of a table in all parts after a version. Waits for one if
+    // there are none yet.
+    std::function<void(const std::string& table, std::uint64_t after,
+                       std::chrono::milliseconds wait, read_callback)>
+        follow;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/table_follower.hpp
@@ -0,0 +1,65 @@
+#ifndef COLTSFOOTRACK_CELL_TABLE_FOLLOWER_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_TABLE_FOLLOWER_HPP_INCLUDED
+
+#include <coltsfootrack/cell/store_port.hpp>
+#include <coltsfootrack/daemon/control_loop.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// Follows the changes of one table: reads it whole, then its changes, and reads
+// it whole again when the store does not keep the changes any more.
+//
+// Thread safety: belongs to the control thread; the store's answers are posted
+// there. The destructor ends it, and answers that come later are ignored.
+class table_follower
+{
+public:
+    struct hooks
+    {
+        // All rows, after a whole reading: a row that is missing is gone.
+        std::function<void(const std::vector<stored_row>&)> on_snapshot;
+        // Changed rows; a removed one has version 0.
+        std::function<void(const std::vector<stored_row>&)> on_changes;
+        // Called with true after each answer, and false after each failure.
+        std::function<void(bool)> on_answer;
+    };
+
+    table_follower(daemon::control_loop& loop, const store_port& store,
+                   std::string table, std::vector<std::string> parts,
+                   std::chrono::milliseconds wait,
+                   std::chrono::milliseconds pause, hooks callbacks);
+
+    // Starts with a whole reading.
+    void start();
+
+private:
+    void read_part(std::size_t part, const std::string& from);
+    void on_page(std::size_t part, const read_result& result);
+    void follow();
+    void on_followed(const read_result& result);
+    void later(std::chrono::milliseconds pause, std::function<void()> action);
+
+    daemon::control_loop& loop_;
+    const store_port& store_;
+    std::string table_;
+    std::vector<std::string> parts_;
+    std::chrono::milliseconds wait_;
+    std::chrono::milliseconds pause_;
+    hooks hooks_;
+    std::vector<stored_row> rows_;
+    std::uint64_t version_ = 0;
+    std::shared_ptr<bool> alive_;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/cell/worker_port.hpp
@@ -0,0 +1,53 @@
+#ifndef COLTSFOOTRACK_CELL_WORKER_PORT_HPP_INCLUDED
+#define COLTSFOOTRACK_CELL_WORKER_PORT_HPP_INCLUDED
+
+#include <coltsfootrack/cell/lease_renewal.hpp>
+#include <coltsfootrack/fleet/order.hpp>
+#include <coltsfootrack/fleet/order_outcome.hpp>
+#include <coltsfootrack/fleet/worker_listing.hpp>
+
+#include <absl/status/statusor.h>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace coltsfootrack::cell
+{
+
+// The workers, as a cell orders them. Each order carries the epoch of the
+// leader as fencing token, and is answered by its callback within a bounded
+// time, on any thread.
+struct worker_port
+{
+    using order_callback = std::function<void(fleet::order_outcome)>;
+
+    std::function<void(const fleet::worker_listing&, const lease_renewal&,
+                       std::function<void(renewal_result)>)>
+        renew;
+
+    // The last argument is the end of the lease on the worker's clock.
+    std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
+                       const fleet::start_order&, std::chrono::milliseconds,
+                       order_callback)>
+        start;
+
+    std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
+                       const fleet::stop_order&, order_callback)>
+        stop;
+
+    std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
+                       const fleet::pace_order&, order_callback)>
+        pace;
+
+    // The table and part of the list of workers, and what a row of it says;
+    // an error for a row that names no worker.
+    std::string list_table;
+    std::function<absl::StatusOr<fleet::worker_listing>(
+        const std::string& key, const std::string& value)>
+        read_listing;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -0,0 +1,95 @@
+#ifndef COLTSFOOTRACK_FLEET_JOB_RECORD_HPP_INCLUDED
+#define COLTSFOOTRACK_FLEET_JOB_RECORD_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/jobs/job_progress.hpp>
+#include <coltsfootrack/jobs/job_submission.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::fleet
+{
+
+// The placement ticket of a step for one worker.
+struct held_ticket
+{
+    // The life of the worker that the answer was about.
+    std::int64_t life = 0;
+    std::string text;
+    base::time_point valid_until;
+};
+
+// The state of one task.
+struct task_record
+{
+    bool done = false;
+    // The worker with the run that counts, if there is one.
+    std::optional<base::worker_id> worker;
+    // The highest run number known.
+    std::uint64_t last_run = 0;
+    jobs::failure_count failures;
+    std::string checkpoint;
+    // Not started before this time.
+    base::time_point not_before;
+    // Where it failed or stood still last.
+    std::optional<base::worker_id> avoid;
+};
+
+// The state of one step of one occurrence.
+struct step_record
+{
+    std::vector<task_record> tasks;
+    int done = 0;
+    // Tasks with a run.
+    int active = 0;
+    std::map<base::worker_id, held_ticket> tickets;
+    // Workers, with their life, that may not run the step.
+    std::map<base::worker_id, std::int64_t> refused;
+    bool asking = false;
+    base::time_point asked_at;
+    // The start of the oldest run that is still active.
+    base::time_point first_start;
+};
+
+// What the fleet knows of one job that is not forgotten.
+struct job_record
+{
+    base::job_id id;
+    jobs::job_submission submission;
+    // By occurrence, then step. An occurrence is empty until it is due.
+    std::vector<std::vector<step_record>> occurrences;
+    jobs::job_state state = jobs::job_state::queued;
+    bool cancelled = false;
+    // Accepted before this leader was elected, so that a former leader may
+    // have started its tasks.
+    bool inherited = false;
+    // A task has started.
+    bool begun = false;
+    // Changes of what has to be stored, and the last one stored or ordered.
+    std::uint64_t change = 0;
+    std::uint64_t change_ordered = 0;
+    std::uint64_t change_saved = 0;
+    // The state in the last stored row.
+    jobs::job_state saved_state = jobs::job_state::queued;
+    base::time_point submitted_at;
+    // On time until this moment, of some use until the second.
+    base::time_point due;
+    base::time_point late_end;
+    // Beyond the share of its team.
+    bool over_share = false;
+    base::time_point finished_at;
+
+    bool final_state() const
+    {
+        return jobs::is_final(state);
+    }
+};
+
+} // namespace coltsfootrack::fleet
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/fleet/service_policy.hpp
@@ -0,0 +1,34 @@
+#ifndef COLTSFOOTRACK_FLEET_SERVICE_POLICY_HPP_INCLUDED
+#define COLTSFOOTRACK_FLEET_SERVICE_POLICY_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+
+#include <tuple>
+
+namespace coltsfootrack::fleet
+{
+
+// A group of workers that run the tasks of some queues.
+struct service_policy
+{
+    base::service_id service;
+    // The workers refuse what does not fit; otherwise only the scheduler does.
+    bool workers_guard_capacity = false;
+    // The VMs of the service are switched off until they are moved to another.
+    bool spare = false;
+
+    friend bool operator==(const service_policy& a, const service_policy& b)
+    {
+        return std::tie(a.service, a.workers_guard_capacity, a.spare) ==
+               std::tie(b.service, b.workers_guard_capacity, b.spare);
+    }
+
+    friend bool operator!=(const service_policy& a, const service_policy& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::fleet
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/fleet/ticket_policy.hpp
@@ -0,0 +1,32 @@
+#ifndef COLTSFOOTRACK_FLEET_TICKET_POLICY_HPP_INCLUDED
+#define COLTSFOOTRACK_FLEET_TICKET_POLICY_HPP_INCLUDED
+
+#include <chrono>
+#include <tuple>
+
+namespace coltsfootrack::fleet
+{
+
+// What a request for placement tickets of a queue costs, and how long the
+// tickets last. An answer takes decide_time and each_time per worker named.
+struct ticket_policy
+{
+    std::chrono::duration<double, std::milli> decide_time{0};
+    std::chrono::duration<double, std::milli> each_time{0};
+    std::chrono::milliseconds valid_for{0};
+
+    friend bool operator==(const ticket_policy& a, const ticket_policy& b)
+    {
+        return std::tie(a.decide_time, a.each_time, a.valid_for) ==
+               std::tie(b.decide_time, b.each_time, b.valid_for);
+    }
+
+    friend bool operator!=(const ticket_policy& a, const ticket_policy& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::fleet
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -0,0 +1,68 @@
+#ifndef COLTSFOOTRACK_FLEET_WORKER_RECORD_HPP_INCLUDED
+#define COLTSFOOTRACK_FLEET_WORKER_RECORD_HPP_INCLUDED
+
+#include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/fleet/active_run.hpp>
+#include <coltsfootrack/fleet/worker_lease.hpp>
+#include <coltsfootrack/fleet/worker_listing.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+
+namespace coltsfootrack::fleet
+{
+
+// An end that is not acknowledged yet: it may be once the change of its job is
+// stored.
+struct unacknowledged_end
+{
+    std::uint64_t number = 0;
+    base::job_id job;
+    std::uint64_t change = 0;
+};
+
+// What the fleet knows of one worker.
+struct worker_record
+{
+    worker_listing listing;
+    // On the platform's list now.
+    bool listed = true;
+    // Has reported to this leader, so that its runs are known.
+    bool synced = false;
+    // The last renewal was not answered.
+    bool silent = false;
+    std::int64_t life = 0;
+    worker_lease lease;
+    std::map<jobs::task_key, active_run> runs;
+    // The sum of the room of the runs.
+    base::resources used;
+    // Processors that tasks on leftover capacity ask for, thousandths.
+    std::int64_t leftover_used = 0;
+    // The last end that was taken into account, and the last that may be
+    // acknowledged.
+    std::uint64_t ends_seen = 0;
+    std::uint64_t ends_durable = 0;
+    std::deque<unacknowledged_end> ends;
+    // When an end of an unknown job first held up the list.
+    std::optional<base::time_point> unknown_since;
+    // Consecutive failures and their jobs.
+    int failures = 0;
+    base::job_id failed_job;
+    bool several_jobs_failed = false;
+    int quarantines = 0;
+    base::time_point avoided_until;
+    // The last change of the pace of tasks on leftover capacity.
+    base::time_point paced_at;
+
+    worker_record(worker_listing entry, worker_lease start)
+        : listing(std::move(entry))
+        , lease(start)
+    {
+    }
+};
+
+} // namespace coltsfootrack::fleet
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/http/async_client.hpp
@@ -0,0 +1,58 @@
+#ifndef COLTSFOOTRACK_HTTP_ASYNC_CLIENT_HPP_INCLUDED
+#define COLTSFOOTRACK_HTTP_ASYNC_CLIENT_HPP_INCLUDED
+
+#include <coltsfootrack/http/client_options.hpp>
+#include <coltsfootrack/http/client_result.hpp>
+#include <coltsfootrack/http/request.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace coltsfootrack::http
+{
+
+// Sends many HTTP/1.1 requests at a time from one thread of its own.
+//
+//     async_client http(client_options{}, 4);
+//     http.send("10.0.0.7:8080", {"POST", "/run", {}, {}, body},
+//               std::chrono::seconds(1),
+//               [](client_result result) { ... });
+//
+// As with client, each request is sent at most once. At most
+// connections_per_address connections are open to one address; further calls
+// to it wait, and their timeouts run meanwhile.
+//
+// Thread safety: send may be called from any thread. Callbacks run on the
+// client's thread and must return quickly.
+class async_client
+{
+public:
+    using callback = std::function<void(client_result)>;
+
+    async_client(const client_options& options,
+                 std::size_t connections_per_address);
+    async_client(const async_client&) = delete;
+    async_client& operator=(const async_client&) = delete;
+
+    // Ends the thread. Calls that run are dropped without a callback.
+    ~async_client();
+
+    // Sends a request to a numeric address with a port.
+    void send(const std::string& address, request message,
+              std::chrono::milliseconds total_timeout, callback done);
+
+    // The calls that wait for their answer.
+    std::size_t in_flight() const;
+
+private:
+    class impl;
+
+    std::unique_ptr<impl> impl_;
+};
+
+} // namespace coltsfootrack::http
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/jobs/job_spec.hpp
@@ -0,0 +1,68 @@
+#ifndef COLTSFOOTRACK_JOBS_JOB_SPEC_HPP_INCLUDED
+#define COLTSFOOTRACK_JOBS_JOB_SPEC_HPP_INCLUDED
+
+#include <coltsfootrack/jobs/step_spec.hpp>
+
+#include <absl/status/status.h>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace coltsfootrack::jobs
+{
+
+// What a caller hands in.
+struct job_spec
+{
+    // Passed to every task unchanged; at most max_payload_bytes.
+    std::string payload;
+    std::vector<step_spec> steps;
+    // 0: the steps run once, at once. Otherwise they run this many times, and
+    // run K is due at first_due + K * interval.
+    int repeats = 0;
+    std::chrono::system_clock::time_point first_due;
+    std::chrono::milliseconds interval{0};
+
+    // The number of times that the steps run; at least 1.
+    int occurrences() const
+    {
+        return repeats > 0 ? repeats : 1;
+    }
+
+    bool timed() const
+    {
+        return repeats > 0;
+    }
+
+    friend bool operator==(const job_spec& a, const job_spec& b)
+    {
+        return std::tie(a.payload, a.steps, a.repeats, a.first_due,
+                        a.interval) ==
+               std::tie(b.payload, b.steps, b.repeats, b.first_due, b.interval);
+    }
+
+    friend bool operator!=(const job_spec& a, const job_spec& b)
+    {
+        return !(a == b);
+    }
+};
+
+// The limits of one job; a larger one is refused as invalid_request.
+constexpr std::size_t max_payload_bytes = 4000;
+constexpr std::size_t max_steps = 200;
+constexpr int max_tasks_per_step = 10000;
+constexpr int max_repeats = 10000;
+
+// OK, or invalid_request with the first fault: no steps, an amount below zero,
+// a dependency on a later step, or a limit above that is passed.
+absl::Status check(const job_spec& spec);
+
+// The longest chain of estimates through the steps: the least time that one
+// occurrence takes when nothing waits.
+std::chrono::milliseconds critical_path(const job_spec& spec);
+
+} // namespace coltsfootrack::jobs
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/catalogue_copy.hpp
@@ -0,0 +1,31 @@
+#ifndef COLTSFOOTRACK_WIRE_CATALOGUE_COPY_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_CATALOGUE_COPY_HPP_INCLUDED
+
+#include <cstdint>
+#include <string>
+
+namespace coltsfootrack::wire
+{
+
+// The newest catalogue of the sender, for a peer that has an older one and may
+// not reach the store.
+struct catalogue_copy
+{
+    std::uint64_t version = 0;
+    // As it stands in the store.
+    std::string document;
+
+    friend bool operator==(const catalogue_copy& a, const catalogue_copy& b)
+    {
+        return a.version == b.version && a.document == b.document;
+    }
+
+    friend bool operator!=(const catalogue_copy& a, const catalogue_copy& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- a/include/coltsfootrack/wire/message_type.hpp
+++ b/include/coltsfootrack/wire/message_type.hpp
@@ -20,12 +20,20 @@
     freshness_answer,
     config_notice,
     job_notice,
-    usage_report
+    usage_report,
+    cell_status,
+    catalogue_copy,
+    job_copy,
+    cancel_notice,
+    state_query,
+    state_answer,
+    ticket_query,
+    ticket_answer
 };
 
-// The number of types; usage_report is the last one.
+// The number of types; ticket_answer is the last one.
 constexpr std::size_t message_type_count =
-    static_cast<std::size_t>(message_type::usage_report) + 1;
+    static_cast<std::size_t>(message_type::ticket_answer) + 1;
 
 // The type of a message.
 message_type type_of(const message& value);
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -48,6 +48,36 @@
 struct UsageReport;
 struct UsageReportBuilder;
 
+struct QueueCount;
+struct QueueCountBuilder;
+
+struct CellStatus;
+struct CellStatusBuilder;
+
+struct CatalogueCopy;
+struct CatalogueCopyBuilder;
+
+struct JobCopy;
+struct JobCopyBuilder;
+
+struct CancelNotice;
+struct CancelNoticeBuilder;
+
+struct StateQuery;
+struct StateQueryBuilder;
+
+struct StateAnswer;
+struct StateAnswerBuilder;
+
+struct TicketQuery;
+struct TicketQueryBuilder;
+
+struct TicketGrant;
+struct TicketGrantBuilder;
+
+struct TicketAnswer;
+struct TicketAnswerBuilder;
+
 struct Peer;
 struct PeerBuilder;
 
@@ -62,11 +92,19 @@
   ConfigNotice = 7,
   JobNotice = 8,
   UsageReport = 9,
+  CellStatus = 10,
+  CatalogueCopy = 11,
+  JobCopy = 12,
+  CancelNotice = 13,
+  StateQuery = 14,
+  StateAnswer = 15,
+  TicketQuery = 16,
+  TicketAnswer = 17,
   MIN = NONE,
-  MAX = UsageReport
+  MAX = TicketAnswer
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[18] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -77,13 +115,21 @@
     Body::FreshnessAnswer,
     Body::ConfigNotice,
     Body::JobNotice,
-    Body::UsageReport
+    Body::UsageReport,
+    Body::CellStatus,
+    Body::CatalogueCopy,
+    Body::JobCopy,
+    Body::CancelNotice,
+    Body::StateQuery,
+    Body::StateAnswer,
+    Body::TicketQuery,
+    Body::TicketAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[19] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -94,13 +140,21 @@
     "ConfigNotice",
     "JobNotice",
     "UsageReport",
+    "CellStatus",
+    "CatalogueCopy",
+    "JobCopy",
+    "CancelNotice",
+    "StateQuery",
+    "StateAnswer",
+    "TicketQuery",
+    "TicketAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::UsageReport)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TicketAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -145,6 +199,38 @@
   static const Body enum_value = Body::UsageReport;
 };
 
+template<> struct BodyTraits<coltsfootrack::wire::fb::CellStatus> {
+  static const Body enum_value = Body::CellStatus;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::CatalogueCopy> {
+  static const Body enum_value = Body::CatalogueCopy;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::JobCopy> {
+  static const Body enum_value = Body::JobCopy;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::CancelNotice> {
+  static const Body enum_value = Body::CancelNotice;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::StateQuery> {
+  static const Body enum_value = Body::StateQuery;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::StateAnswer> {
+  static const Body enum_value = Body::StateAnswer;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::TicketQuery> {
+  static const Body enum_value = Body::TicketQuery;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::TicketAnswer> {
+  static const Body enum_value = Body::TicketAnswer;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -913,6 +999,789 @@
       teams__);
 }
 
+struct QueueCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueCountBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_QUEUE = 4,
+    VT_WAITING = 6
+  };
+  const flatbuffers::String *queue() const {
+    return GetPointer<const flatbuffers::String *>(VT_QUEUE);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_QUEUE) &&
+           verifier.VerifyString(queue()) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct QueueCountBuilder {
+  typedef QueueCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_queue(flatbuffers::Offset<flatbuffers::String> queue) {
+    fbb_.AddOffset(QueueCount::VT_QUEUE, queue);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(QueueCount::VT_WAITING, waiting, 0);
+  }
+  explicit QueueCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueCount>(end);
+    fbb_.Required(o, QueueCount::VT_QUEUE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueCount> CreateQueueCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> queue = 0,
+    uint32_t waiting = 0) {
+  QueueCountBuilder builder_(_fbb);
+  builder_.add_waiting(waiting);
+  builder_.add_queue(queue);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<QueueCount> CreateQueueCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *queue = nullptr,
+    uint32_t waiting = 0) {
+  auto queue__ = queue ? _fbb.CreateString(queue) : 0;
+  return coltsfootrack::wire::fb::CreateQueueCount(
+      _fbb,
+      queue__,
+      waiting);
+}
+
+struct CellStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CellStatusBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_EPOCH = 4,
+    VT_LEADER = 6,
+    VT_LEADING = 8,
+    VT_STOPPING = 10,
+    VT_STORE_AGE_MS = 12,
+    VT_LEADER_AGE_MS = 14,
+    VT_STORE_DELAY_MS = 16,
+    VT_CATALOGUE_VERSION = 18,
+    VT_QUEUES = 20
+  };
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  const flatbuffers::String *leader() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  }
+  bool leading() const {
+    return GetField<uint8_t>(VT_LEADING, 0) != 0;
+  }
+  bool stopping() const {
+    return GetField<uint8_t>(VT_STOPPING, 0) != 0;
+  }
+  int64_t store_age_ms() const {
+    return GetField<int64_t>(VT_STORE_AGE_MS, -1LL);
+  }
+  int64_t leader_age_ms() const {
+    return GetField<int64_t>(VT_LEADER_AGE_MS, -1LL);
+  }
+  uint32_t store_delay_ms() const {
+    return GetField<uint32_t>(VT_STORE_DELAY_MS, 0);
+  }
+  uint64_t catalogue_version() const {
+    return GetField<uint64_t>(VT_CATALOGUE_VERSION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *>(VT_QUEUES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyString(leader()) &&
+           VerifyField<uint8_t>(verifier, VT_LEADING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STOPPING, 1) &&
+           VerifyField<int64_t>(verifier, VT_STORE_AGE_MS, 8) &&
+           VerifyField<int64_t>(verifier, VT_LEADER_AGE_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_STORE_DELAY_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_CATALOGUE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_QUEUES) &&
+           verifier.VerifyVector(queues()) &&
+           verifier.VerifyVectorOfTables(queues()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CellStatusBuilder {
+  typedef CellStatus Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(CellStatus::VT_EPOCH, epoch, 0);
+  }
+  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
+    fbb_.AddOffset(CellStatus::VT_LEADER, leader);
+  }
+  void add_leading(bool leading) {
+    fbb_.AddElement<uint8_t>(CellStatus::VT_LEADING, static_cast<uint8_t>(leading), 0);
+  }
+  void add_stopping(bool stopping) {
+    fbb_.AddElement<uint8_t>(CellStatus::VT_STOPPING, static_cast<uint8_t>(stopping), 0);
+  }
+  void add_store_age_ms(int64_t store_age_ms) {
+    fbb_.AddElement<int64_t>(CellStatus::VT_STORE_AGE_MS, store_age_ms, -1LL);
+  }
+  void add_leader_age_ms(int64_t leader_age_ms) {
+    fbb_.AddElement<int64_t>(CellStatus::VT_LEADER_AGE_MS, leader_age_ms, -1LL);
+  }
+  void add_store_delay_ms(uint32_t store_delay_ms) {
+    fbb_.AddElement<uint32_t>(CellStatus::VT_STORE_DELAY_MS, store_delay_ms, 0);
+  }
+  void add_catalogue_version(uint64_t catalogue_version) {
+    fbb_.AddElement<uint64_t>(CellStatus::VT_CATALOGUE_VERSION, catalogue_version, 0);
+  }
+  void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues) {
+    fbb_.AddOffset(CellStatus::VT_QUEUES, queues);
+  }
+  explicit CellStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CellStatus> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CellStatus>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CellStatus> CreateCellStatus(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t epoch = 0,
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    bool leading = false,
+    bool stopping = false,
+    int64_t store_age_ms = -1LL,
+    int64_t leader_age_ms = -1LL,
+    uint32_t store_delay_ms = 0,
+    uint64_t catalogue_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues = 0) {
+  CellStatusBuilder builder_(_fbb);
+  builder_.add_catalogue_version(catalogue_version);
+  builder_.add_leader_age_ms(leader_age_ms);
+  builder_.add_store_age_ms(store_age_ms);
+  builder_.add_epoch(epoch);
+  builder_.add_queues(queues);
+  builder_.add_store_delay_ms(store_delay_ms);
+  builder_.add_leader(leader);
+  builder_.add_stopping(stopping);
+  builder_.add_leading(leading);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CellStatus> CreateCellStatusDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t epoch = 0,
+    const char *leader = nullptr,
+    bool leading = false,
+    bool stopping = false,
+    int64_t store_age_ms = -1LL,
+    int64_t leader_age_ms = -1LL,
+    uint32_t store_delay_ms = 0,
+    uint64_t catalogue_version = 0,
+    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues = nullptr) {
+  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>(*queues) : 0;
+  return coltsfootrack::wire::fb::CreateCellStatus(
+      _fbb,
+      epoch,
+      leader__,
+      leading,
+      stopping,
+      store_age_ms,
+      leader_age_ms,
+      store_delay_ms,
+      catalogue_version,
+      queues__);
+}
+
+struct CatalogueCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CatalogueCopyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_DOCUMENT = 6
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  const flatbuffers::String *document() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOCUMENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffsetRequired(verifier, VT_DOCUMENT) &&
+           verifier.VerifyString(document()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CatalogueCopyBuilder {
+  typedef CatalogueCopy Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(CatalogueCopy::VT_VERSION, version, 0);
+  }
+  void add_document(flatbuffers::Offset<flatbuffers::String> document) {
+    fbb_.AddOffset(CatalogueCopy::VT_DOCUMENT, document);
+  }
+  explicit CatalogueCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CatalogueCopy> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CatalogueCopy>(end);
+    fbb_.Required(o, CatalogueCopy::VT_DOCUMENT);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CatalogueCopy> CreateCatalogueCopy(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::String> document = 0) {
+  CatalogueCopyBuilder builder_(_fbb);
+  builder_.add_version(version);
+  builder_.add_document(document);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CatalogueCopy> CreateCatalogueCopyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    const char *document = nullptr) {
+  auto document__ = document ? _fbb.CreateString(document) : 0;
+  return coltsfootrack::wire::fb::CreateCatalogueCopy(
+      _fbb,
+      version,
+      document__);
+}
+
+struct JobCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef JobCopyBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_ROW = 6
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  const flatbuffers::String *row() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROW);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyOffsetRequired(verifier, VT_ROW) &&
+           verifier.VerifyString(row()) &&
+           verifier.EndTable();
+  }
+};
+
+struct JobCopyBuilder {
+  typedef JobCopy Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(JobCopy::VT_JOB, job);
+  }
+  void add_row(flatbuffers::Offset<flatbuffers::String> row) {
+    fbb_.AddOffset(JobCopy::VT_ROW, row);
+  }
+  explicit JobCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<JobCopy> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<JobCopy>(end);
+    fbb_.Required(o, JobCopy::VT_JOB);
+    fbb_.Required(o, JobCopy::VT_ROW);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<JobCopy> CreateJobCopy(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    flatbuffers::Offset<flatbuffers::String> row = 0) {
+  JobCopyBuilder builder_(_fbb);
+  builder_.add_row(row);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<JobCopy> CreateJobCopyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    const char *row = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto row__ = row ? _fbb.CreateString(row) : 0;
+  return coltsfootrack::wire::fb::CreateJobCopy(
+      _fbb,
+      job__,
+      row__);
+}
+
+struct CancelNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CancelNoticeBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           verifier.EndTable();
+  }
+};
+
+struct CancelNoticeBuilder {
+  typedef CancelNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(CancelNotice::VT_JOB, job);
+  }
+  explicit CancelNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CancelNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CancelNotice>(end);
+    fbb_.Required(o, CancelNotice::VT_JOB);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CancelNotice> CreateCancelNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0) {
+  CancelNoticeBuilder builder_(_fbb);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<CancelNotice> CreateCancelNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return coltsfootrack::wire::fb::CreateCancelNotice(
+      _fbb,
+      job__);
+}
+
+struct StateQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StateQueryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_JOB = 6
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StateQueryBuilder {
+  typedef StateQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(StateQuery::VT_NONCE, nonce, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(StateQuery::VT_JOB, job);
+  }
+  explicit StateQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StateQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StateQuery>(end);
+    fbb_.Required(o, StateQuery::VT_JOB);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StateQuery> CreateStateQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0) {
+  StateQueryBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StateQuery> CreateStateQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *job = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return coltsfootrack::wire::fb::CreateStateQuery(
+      _fbb,
+      nonce,
+      job__);
+}
+
+struct StateAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StateAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_STATE = 6
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *state() const {
+    return GetPointer<const flatbuffers::String *>(VT_STATE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffset(verifier, VT_STATE) &&
+           verifier.VerifyString(state()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StateAnswerBuilder {
+  typedef StateAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(StateAnswer::VT_NONCE, nonce, 0);
+  }
+  void add_state(flatbuffers::Offset<flatbuffers::String> state) {
+    fbb_.AddOffset(StateAnswer::VT_STATE, state);
+  }
+  explicit StateAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StateAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StateAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StateAnswer> CreateStateAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> state = 0) {
+  StateAnswerBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
+  builder_.add_state(state);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<StateAnswer> CreateStateAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *state = nullptr) {
+  auto state__ = state ? _fbb.CreateString(state) : 0;
+  return coltsfootrack::wire::fb::CreateStateAnswer(
+      _fbb,
+      nonce,
+      state__);
+}
+
+struct TicketQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TicketQueryBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_JOB = 6,
+    VT_OCCURRENCE = 8,
+    VT_STEP = 10,
+    VT_LIMIT_MS = 12,
+    VT_WORKERS = 14
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint32_t occurrence() const {
+    return GetField<uint32_t>(VT_OCCURRENCE, 0);
+  }
+  uint32_t step() const {
+    return GetField<uint32_t>(VT_STEP, 0);
+  }
+  uint32_t limit_ms() const {
+    return GetField<uint32_t>(VT_LIMIT_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *workers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_WORKERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LIMIT_MS, 4) &&
+           VerifyOffsetRequired(verifier, VT_WORKERS) &&
+           verifier.VerifyVector(workers()) &&
+           verifier.VerifyVectorOfStrings(workers()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TicketQueryBuilder {
+  typedef TicketQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(TicketQuery::VT_NONCE, nonce, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(TicketQuery::VT_JOB, job);
+  }
+  void add_occurrence(uint32_t occurrence) {
+    fbb_.AddElement<uint32_t>(TicketQuery::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(uint32_t step) {
+    fbb_.AddElement<uint32_t>(TicketQuery::VT_STEP, step, 0);
+  }
+  void add_limit_ms(uint32_t limit_ms) {
+    fbb_.AddElement<uint32_t>(TicketQuery::VT_LIMIT_MS, limit_ms, 0);
+  }
+  void add_workers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers) {
+    fbb_.AddOffset(TicketQuery::VT_WORKERS, workers);
+  }
+  explicit TicketQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TicketQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TicketQuery>(end);
+    fbb_.Required(o, TicketQuery::VT_JOB);
+    fbb_.Required(o, TicketQuery::VT_WORKERS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TicketQuery> CreateTicketQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t limit_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> workers = 0) {
+  TicketQueryBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
+  builder_.add_workers(workers);
+  builder_.add_limit_ms(limit_ms);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TicketQuery> CreateTicketQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *job = nullptr,
+    uint32_t occurrence = 0,
+    uint32_t step = 0,
+    uint32_t limit_ms = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *workers = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto workers__ = workers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*workers) : 0;
+  return coltsfootrack::wire::fb::CreateTicketQuery(
+      _fbb,
+      nonce,
+      job__,
+      occurrence,
+      step,
+      limit_ms,
+      workers__);
+}
+
+struct TicketGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TicketGrantBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WORKER = 4,
+    VT_TICKET = 6
+  };
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffsetRequired(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TicketGrantBuilder {
+  typedef TicketGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(TicketGrant::VT_WORKER, worker);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(TicketGrant::VT_TICKET, ticket);
+  }
+  explicit TicketGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TicketGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TicketGrant>(end);
+    fbb_.Required(o, TicketGrant::VT_WORKER);
+    fbb_.Required(o, TicketGrant::VT_TICKET);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TicketGrant> CreateTicketGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0) {
+  TicketGrantBuilder builder_(_fbb);
+  builder_.add_ticket(ticket);
+  builder_.add_worker(worker);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TicketGrant> CreateTicketGrantDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *worker = nullptr,
+    const char *ticket = nullptr) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return coltsfootrack::wire::fb::CreateTicketGrant(
+      _fbb,
+      worker__,
+      ticket__);
+}
+
+struct TicketAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TicketAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_ANSWERED = 6,
+    VT_GRANTS = 8
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  bool answered() const {
+    return GetField<uint8_t>(VT_ANSWERED, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::TicketGrant>> *grants() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::TicketGrant>> *>(VT_GRANTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWERED, 1) &&
+           VerifyOffset(verifier, VT_GRANTS) &&
+           verifier.VerifyVector(grants()) &&
+           verifier.VerifyVectorOfTables(grants()) &&
+           verifier.EndTable();
+  }
+};
+
+struct TicketAnswerBuilder {
+  typedef TicketAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(TicketAnswer::VT_NONCE, nonce, 0);
+  }
+  void add_answered(bool answered) {
+    fbb_.AddElement<uint8_t>(TicketAnswer::VT_ANSWERED, static_cast<uint8_t>(answered), 0);
+  }
+  void add_grants(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::TicketGrant>>> grants) {
+    fbb_.AddOffset(TicketAnswer::VT_GRANTS, grants);
+  }
+  explicit TicketAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TicketAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TicketAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TicketAnswer> CreateTicketAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    bool answered = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::TicketGrant>>> grants = 0) {
+  TicketAnswerBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
+  builder_.add_grants(grants);
+  builder_.add_answered(answered);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<TicketAnswer> CreateTicketAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    bool answered = false,
+    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::TicketGrant>> *grants = nullptr) {
+  auto grants__ = grants ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::TicketGrant>>(*grants) : 0;
+  return coltsfootrack::wire::fb::CreateTicketAnswer(
+      _fbb,
+      nonce,
+      answered,
+      grants__);
+}
+
 struct Peer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -953,6 +1822,30 @@
   const coltsfootrack::wire::fb::UsageReport *body_as_UsageReport() const {
     return body_type() == coltsfootrack::wire::fb::Body::UsageReport ? static_cast<const coltsfootrack::wire::fb::UsageReport *>(body()) : nullptr;
   }
+  const coltsfootrack::wire::fb::CellStatus *body_as_CellStatus() const {
+    return body_type() == coltsfootrack::wire::fb::Body::CellStatus ? static_cast<const coltsfootrack::wire::fb::CellStatus *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::CatalogueCopy *body_as_CatalogueCopy() const {
+    return body_type() == coltsfootrack::wire::fb::Body::CatalogueCopy ? static_cast<const coltsfootrack::wire::fb::CatalogueCopy *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::JobCopy *body_as_JobCopy() const {
+    return body_type() == coltsfootrack::wire::fb::Body::JobCopy ? static_cast<const coltsfootrack::wire::fb::JobCopy *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::CancelNotice *body_as_CancelNotice() const {
+    return body_type() == coltsfootrack::wire::fb::Body::CancelNotice ? static_cast<const coltsfootrack::wire::fb::CancelNotice *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::StateQuery *body_as_StateQuery() const {
+    return body_type() == coltsfootrack::wire::fb::Body::StateQuery ? static_cast<const coltsfootrack::wire::fb::StateQuery *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::StateAnswer *body_as_StateAnswer() const {
+    return body_type() == coltsfootrack::wire::fb::Body::StateAnswer ? static_cast<const coltsfootrack::wire::fb::StateAnswer *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::TicketQuery *body_as_TicketQuery() const {
+    return body_type() == coltsfootrack::wire::fb::Body::TicketQuery ? static_cast<const coltsfootrack::wire::fb::TicketQuery *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::TicketAnswer *body_as_TicketAnswer() const {
+    return body_type() == coltsfootrack::wire::fb::Body::TicketAnswer ? static_cast<const coltsfootrack::wire::fb::TicketAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -998,6 +1891,38 @@
   return body_as_UsageReport();
 }
 
+template<> inline const coltsfootrack::wire::fb::CellStatus *Peer::body_as<coltsfootrack::wire::fb::CellStatus>() const {
+  return body_as_CellStatus();
+}
+
+template<> inline const coltsfootrack::wire::fb::CatalogueCopy *Peer::body_as<coltsfootrack::wire::fb::CatalogueCopy>() const {
+  return body_as_CatalogueCopy();
+}
+
+template<> inline const coltsfootrack::wire::fb::JobCopy *Peer::body_as<coltsfootrack::wire::fb::JobCopy>() const {
+  return body_as_JobCopy();
+}
+
+template<> inline const coltsfootrack::wire::fb::CancelNotice *Peer::body_as<coltsfootrack::wire::fb::CancelNotice>() const {
+  return body_as_CancelNotice();
+}
+
+template<> inline const coltsfootrack::wire::fb::StateQuery *Peer::body_as<coltsfootrack::wire::fb::StateQuery>() const {
+  return body_as_StateQuery();
+}
+
+template<> inline const coltsfootrack::wire::fb::StateAnswer *Peer::body_as<coltsfootrack::wire::fb::StateAnswer>() const {
+  return body_as_StateAnswer();
+}
+
+template<> inline const coltsfootrack::wire::fb::TicketQuery *Peer::body_as<coltsfootrack::wire::fb::TicketQuery>() const {
+  return body_as_TicketQuery();
+}
+
+template<> inline const coltsfootrack::wire::fb::TicketAnswer *Peer::body_as<coltsfootrack::wire::fb::TicketAnswer>() const {
+  return body_as_TicketAnswer();
+}
+
 struct PeerBuilder {
   typedef Peer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1071,6 +1996,38 @@
       auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::UsageReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::CellStatus: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::CellStatus *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::CatalogueCopy: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::CatalogueCopy *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::JobCopy: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::JobCopy *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::CancelNotice: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::CancelNotice *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StateQuery: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::StateQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::StateAnswer: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::StateAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TicketQuery: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::TicketQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::TicketAnswer: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::TicketAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/src/cell/cell_daemon.cpp
@@ -0,0 +1,466 @@
+// The daemon of a cell: its threads, what callers ask, and what it stores.
+// Peers and the election are in cell_daemon_peers.cpp.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/cell_daemon.hpp>
+#include <coltsfootrack/cell/member_row.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "cell";
+
+// Events from callers that may wait for the control thread.
+constexpr std::size_t max_events = 4096;
+
+// The leader tells the counts with its status; older ones are not shown.
+constexpr std::chrono::seconds max_count_age{4};
+
+} // namespace
+
+cell_daemon::cell_daemon(const cell_options& options, ports outside,
+                         const base::clock& clock)
+    : options_(options)
+    , outside_(std::move(outside))
+    , clock_(clock)
+    , table_(options.job_parts)
+    , loop_(clock, max_events)
+    , election_(options.daemon, options.incarnation, election_options())
+    , dispatcher_(options.daemon, options.long_ticket)
+    , committers_(options.job_parts)
+{
+}
+
+cell_daemon::~cell_daemon()
+{
+    links_.reset();
+    loop_.stop();
+    if (control_.joinable())
+    {
+        control_.join();
+    }
+}
+
+absl::Status cell_daemon::start()
+{
+    wire::peer_links_options links;
+    links.self = {options_.daemon, options_.incarnation, options_.zone};
+    links.listen_address = options_.address;
+    links.listen_port = options_.peer_port;
+    // The statuses come four times a second; a peer is away after six.
+    links.idle_timeout = 6 * options_.status_period;
+    links.connect_timeout = std::chrono::milliseconds(600);
+    links.max_backoff = std::chrono::milliseconds(800);
+    wire::peer_events events;
+    events.on_message =
+        [this](const base::daemon_id& peer, const wire::message& value)
+    {
+        loop_.post([this, peer, value] { on_message(peer, value); });
+    };
+    events.on_up = [this](const wire::hello& peer)
+    {
+        loop_.post(
+            [this, peer]
+            {
+                base::log(base::log_level::info, log_part,
+                          "Peer connected. peer={}", peer.daemon.text());
+                election_.on_link(peer.daemon, true, clock_.now());
+                dispatcher_.on_link(peer.daemon, true);
+                send_status();
+            });
+    };
+    events.on_down = [this](const base::daemon_id& peer)
+    {
+        loop_.post(
+            [this, peer]
+            {
+                base::log(base::log_level::info, log_part,
+                          "Peer disconnected. peer={}", peer.text());
+                election_.on_link(peer, false, clock_.now());
+                dispatcher_.on_link(peer, false);
+            });
+    };
+    auto started = wire::peer_links::start(links, clock_, base::system_random(),
+                                           std::move(events));
+    if (!started.ok())
+    {
+        return started.status();
+    }
+    links_ = *std::move(started);
+    loop_.post(
+        [this]
+        {
+            register_member();
+            follow_cell();
+            follow_catalogue();
+        });
+    loop_.every(options_.status_period, [this] { send_status(); });
+    loop_.every(options_.step_period,
+                [this]
+                {
+                    elect();
+                    commit();
+                });
+    control_ = std::thread([this] { loop_.run(); });
+    return absl::OkStatus();
+}
+
+std::shared_ptr<const fleet::catalogue> cell_daemon::catalogue() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return published_.catalogue;
+}
+
+bool cell_daemon::ready() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return published_.catalogue != nullptr && !published_.stopping;
+}
+
+std::optional<int> cell_daemon::waiting(const std::string& queue) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!published_.waiting_known ||
+        clock_.now() - published_.waiting_at > max_count_age)
+    {
+        return std::nullopt;
+    }
+    const auto found = published_.waiting.find(queue);
+    return found == published_.waiting.end() ? 0 : found->second;
+}
+
+void cell_daemon::hand_over()
+{
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        published_.stopping = true;
+    }
+    loop_.post(
+        [this]
+        {
+            election_.stop();
+            send_status();
+        });
+}
+
+void cell_daemon::submit(const base::job_id& id,
+                         const jobs::job_submission& job, status_callback done)
+{
+    const std::string row = jobs::encode(job);
+    auto event = [this, id, row, done]
+    {
+        const auto finished = [this, id, row, done](write_status status)
+        {
+            switch (status)
+            {
+            case write_status::stored:
+                tell_leader(wire::job_copy{id, row});
+                done(absl::OkStatus());
+                return;
+            case write_status::exists:
+                done(absl::OkStatus());
+                return;
+            case write_status::refused:
+            case write_status::fenced:
+                done(base::make_error(base::error_kind::store_unavailable,
+                                      "the job was not stored"));
+                return;
+            case write_status::unknown:
+                break;
+            }
+            done(base::make_error(base::error_kind::outcome_unknown,
+                                  "the store did not answer"));
+        };
+        committers_[table_.part_of(id)].insert(
+            table_.job(id), row, clock_.now() + options_.submit_limit,
+            finished);
+        commit();
+    };
+    if (!loop_.try_post(std::move(event)))
+    {
+        done(base::make_error(base::error_kind::overloaded,
+                              "the event queue of this daemon is full"));
+    }
+}
+
+void cell_daemon::cancel(const base::job_id& id, status_callback done)
+{
+    auto write = [this, id, done]
+    {
+        committers_[table_.part_of(id)].insert(
+            table_.cancel(id), "{}", clock_.now() + options_.submit_limit,
+            [this, id, done](write_status status)
+            {
+                if (status == write_status::stored ||
+                    status == write_status::exists)
+                {
+                    tell_leader(wire::cancel_notice{id});
+                    done(absl::OkStatus());
+                    return;
+                }
+                done(base::make_error(status == write_status::unknown
+                                          ? base::error_kind::outcome_unknown
+                                          : base::error_kind::store_unavailable,
+                                      "the cancellation was not stored"));
+            });
+        commit();
+    };
+    auto event = [this, id, done, write]
+    {
+        const base::time_point sent = clock_.now();
+        outside_.store.read_row(
+            table_.job(id),
+            [this, id, done, write, sent](read_result result)
+            {
+                loop_.post(
+                    [this, done, write, sent, result = std::move(result)]
+                    {
+                        note_store(result.status == read_status::ok,
+                                   std::chrono::duration_cast<
+                                       std::chrono::milliseconds>(clock_.now() -
+                                                                  sent));
+                        if (result.status != read_status::ok)
+                        {
+                            done(base::make_error(
+                                base::error_kind::store_unavailable,
+                                "the job cannot be looked up"));
+                        }
+                        else if (result.rows.empty())
+                        {
+                            done(base::make_error(base::error_kind::not_found,
+                                                  "no such job"));
+                        }
+                        else
+                        {
+                            write();
+                        }
+                    });
+            });
+    };
+    if (!loop_.try_post(std::move(event)))
+    {
+        done(base::make_error(base::error_kind::overloaded,
+                              "the event queue of this daemon is full"));
+    }
+}
+
+void cell_daemon::state(const base::job_id& id, state_callback done)
+{
+    auto event = [this, id, done]
+    {
+        if (leadership_ && leadership_->loaded())
+        {
+            const auto known = leadership_->state_of(id);
+            if (known)
+            {
+                done(*known);
+                return;
+            }
+            state_from_store(id, done);
+            return;
+        }
+        const auto& row = election_.row();
+        const std::uint64_t nonce = next_nonce_++;
+        if (!row || election_.is_self() ||
+            !links_->send(row->daemon, wire::state_query{nonce, id}))
+        {
+            state_from_store(id, done);
+            return;
+        }
+        questions_[nonce] = {id, done};
+        loop_.after(options_.query_limit,
+                    [this, nonce]
+                    {
+                        const auto found = questions_.find(nonce);
+                        if (found != questions_.end())
+                        {
+                            const question late = std::move(found->second);
+                            questions_.erase(found);
+                            state_from_store(late.job, late.done);
+                        }
+                    });
+    };
+    if (!loop_.try_post(std::move(event)))
+    {
+        done(base::make_error(base::error_kind::overloaded,
+                              "the event queue of this daemon is full"));
+    }
+}
+
+// Reads the progress first: a final state needs no second read.
+void cell_daemon::state_from_store(const base::job_id& id, state_callback done)
+{
+    const auto unavailable = base::make_error(
+        base::error_kind::store_unavailable, "the job cannot be looked up");
+    auto read_job = [this, id, done, unavailable]
+    {
+        outside_.store.read_row(
+            table_.job(id),
+            [this, done, unavailable](read_result result)
+            {
+                loop_.post(
+                    [done, unavailable, result = std::move(result)]
+                    {
+                        if (result.status != read_status::ok)
+                        {
+                            done(unavailable);
+                        }
+                        else if (result.rows.empty())
+                        {
+                            done(base::make_error(base::error_kind::not_found,
+                                                  "no such job"));
+                        }
+                        else
+                        {
+                            done(jobs::job_state::queued);
+                        }
+                    });
+            });
+    };
+    outside_.store.read_row(
+        table_.progress(id),
+        [this, done, read_job, unavailable](read_result result)
+        {
+            loop_.post(
+                [done, read_job, unavailable, result = std::move(result)]
+                {
+                    if (result.status != read_status::ok)
+                    {
+                        done(unavailable);
+                        return;
+                    }
+                    if (result.rows.empty())
+                    {
+                        read_job();
+                        return;
+                    }
+                    const auto progress =
+                        jobs::decode_progress(result.rows.front().value);
+                    if (progress.ok())
+                    {
+                        done(progress->state);
+                    }
+                    else
+                    {
+                        done(progress.status());
+                    }
+                });
+        });
+}
+
+void cell_daemon::commit()
+{
+    const base::time_point now = clock_.now();
+    for (std::size_t part = 0; part < committers_.size(); ++part)
+    {
+        const auto next = committers_[part].next(now);
+        if (!next)
+        {
+            continue;
+        }
+        outside_.store.transact(
+            *next,
+            [this, part, now](transaction_result result)
+            {
+                loop_.post(
+                    [this, part, now, result = std::move(result)]
+                    {
+                        const bool answered =
+                            result.status == transaction_status::committed ||
+                            result.status == transaction_status::conflict;
+                        note_store(answered, std::chrono::duration_cast<
+                                                 std::chrono::milliseconds>(
+                                                 clock_.now() - now));
+                        if (!answered)
+                        {
+                            metrics_.count_retry(
+                                base::error_kind::store_unavailable);
+                        }
+                        committers_[part].on_result(result, clock_.now());
+                        commit();
+                    });
+            });
+    }
+}
+
+void cell_daemon::note_store(bool answered, std::chrono::milliseconds delay)
+{
+    if (answered)
+    {
+        election_.on_store_answer(delay, clock_.now());
+    }
+    if (answered != store_up_)
+    {
+        store_up_ = answered;
+        base::log(base::log_level::info, log_part, "{}",
+                  answered ? "Store answers." : "Store does not answer.");
+    }
+}
+
+void cell_daemon::follow_catalogue()
+{
+    table_follower::hooks callbacks;
+    callbacks.on_answer = [this](bool answered)
+    {
+        // The delay of a read that waits says nothing.
+        note_store(answered, election_.store_delay());
+    };
+    const auto take = [this](const std::vector<stored_row>& rows)
+    {
+        for (const stored_row& row : rows)
+        {
+            if (row.exists() && row.id.key == outside_.catalogue.key)
+            {
+                take_catalogue(row.value, "store");
+            }
+        }
+    };
+    callbacks.on_snapshot = take;
+    callbacks.on_changes = take;
+    catalogues_ = std::make_unique<table_follower>(
+        loop_, outside_.store, outside_.catalogue.table,
+        std::vector<std::string>{""}, options_.follow_wait,
+        std::chrono::milliseconds(0), std::move(callbacks));
+    catalogues_->start();
+}
+
+void cell_daemon::take_catalogue(const std::string& document, const char* from)
+{
+    auto read = outside_.catalogue.read(document);
+    if (!read.ok())
+    {
+        base::log(base::log_level::error, log_part,
+                  "Catalogue cannot be read. from={} error={}", from,
+                  std::string(read.status().message()));
+        return;
+    }
+    const auto known = catalogue();
+    if (known && read->version <= known->version)
+    {
+        return;
+    }
+    read->source = document;
+    const auto next =
+        std::make_shared<const fleet::catalogue>(*std::move(read));
+    base::log(base::log_level::info, log_part,
+              "Catalogue in force. version={} from={} queues={} teams={}",
+              next->version, from, next->queues.size(), next->teams.size());
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        published_.catalogue = next;
+    }
+    if (leadership_)
+    {
+        leadership_->set_catalogue(next);
+    }
+    // Peers that have an older one and cannot read the store get a copy.
+    send_status();
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/cell_daemon_peers.cpp
@@ -0,0 +1,486 @@
+// Peers of a cell daemon, and the election.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/cell_daemon.hpp>
+#include <coltsfootrack/cell/member_row.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "cell";
+
+// The pause before a write that failed is tried again.
+constexpr std::chrono::milliseconds retry_pause{300};
+
+// What a peer of another region takes for a question, there and back.
+constexpr std::chrono::milliseconds peer_round_trip{60};
+
+} // namespace
+
+void cell_daemon::register_member()
+{
+    wire::peer_address self;
+    self.daemon = options_.daemon;
+    self.zone = options_.zone;
+    self.address = options_.address;
+    self.port = options_.peer_port;
+    transaction write;
+    write.writes.push_back(
+        {table_.daemon(options_.daemon), encode_member(self)});
+    outside_.store.transact(
+        write,
+        [this](transaction_result result)
+        {
+            loop_.post(
+                [this, status = result.status]
+                {
+                    if (status != transaction_status::committed)
+                    {
+                        loop_.after(retry_pause, [this] { register_member(); });
+                    }
+                });
+        });
+}
+
+void cell_daemon::follow_cell()
+{
+    table_follower::hooks callbacks;
+    callbacks.on_answer = [this](bool answered)
+    {
+        note_store(answered, election_.store_delay());
+    };
+    callbacks.on_snapshot = [this](const std::vector<stored_row>& rows)
+    {
+        take_cell_rows(rows, true);
+    };
+    callbacks.on_changes = [this](const std::vector<stored_row>& rows)
+    {
+        take_cell_rows(rows, false);
+    };
+    cell_ = std::make_unique<table_follower>(
+        loop_, outside_.store, job_table::cell_table,
+        std::vector<std::string>{""}, options_.follow_wait,
+        std::chrono::milliseconds(0), std::move(callbacks));
+    cell_->start();
+}
+
+void cell_daemon::take_cell_rows(const std::vector<stored_row>& rows, bool all)
+{
+    const base::time_point now = clock_.now();
+    bool leader_seen = false;
+    bool members_changed = false;
+    std::map<base::daemon_id, wire::peer_address> members =
+        all ? std::map<base::daemon_id, wire::peer_address>() : members_;
+    const std::string prefix = job_table::daemon_prefix;
+    for (const stored_row& row : rows)
+    {
+        if (row.id == table_.leader() && row.exists())
+        {
+            leader_seen = true;
+            const auto leader = decode_leader_row(row.value, row.version);
+            if (leader.ok())
+            {
+                election_.on_row(*leader, now);
+                if (leadership_ && leader->epoch > leadership_->epoch())
+                {
+                    step_down("the leader row names a later epoch");
+                }
+            }
+        }
+        if (row.id.part.empty() && row.id.key.rfind(prefix, 0) == 0)
+        {
+            const base::daemon_id id(row.id.key.substr(prefix.size()));
+            members_changed = true;
+            const auto member = decode_member(id, row.value);
+            if (row.exists() && member.ok())
+            {
+                members[id] = *member;
+            }
+            else
+            {
+                members.erase(id);
+            }
+        }
+    }
+    if (all && !leader_seen)
+    {
+        election_.on_row(leader_row(), now);
+    }
+    if (members_changed && members != members_)
+    {
+        members_ = members;
+        std::vector<wire::peer_address> peers;
+        for (const auto& [id, address] : members_)
+        {
+            peers.push_back(address);
+        }
+        const absl::Status status = links_->set_peers(peers);
+        if (!status.ok())
+        {
+            base::log(base::log_level::error, log_part,
+                      "Peers refused. error={}", std::string(status.message()));
+        }
+    }
+    elect();
+}
+
+void cell_daemon::elect()
+{
+    if (claiming_ || leadership_)
+    {
+        return;
+    }
+    const auto claim = election_.decide(clock_.now());
+    if (claim)
+    {
+        write_claim(*claim);
+    }
+}
+
+void cell_daemon::write_claim(const leader_row& claim)
+{
+    claiming_ = true;
+    base::log(base::log_level::info, log_part,
+              "Stands for leader. epoch={} row_version={}", claim.epoch,
+              claim.version);
+    transaction write;
+    write.conditions.push_back({table_.leader(), claim.version});
+    write.writes.push_back({table_.leader(), encode(claim)});
+    outside_.store.transact(
+        write,
+        [this, claim](transaction_result result)
+        {
+            loop_.post(
+                [this, claim, result = std::move(result)]
+                {
+                    claiming_ = false;
+                    if (result.status == transaction_status::committed)
+                    {
+                        leader_row won = claim;
+                        won.version = result.version;
+                        election_.on_row(won, clock_.now());
+                        lead(won.epoch);
+                        return;
+                    }
+                    for (const stored_row& row : result.current)
+                    {
+                        const auto other =
+                            decode_leader_row(row.value, row.version);
+                        if (row.exists() && other.ok())
+                        {
+                            election_.on_row(*other, clock_.now());
+                            // The answer to an earlier claim was lost.
+                            if (election_.is_self())
+                            {
+                                lead(other->epoch);
+                            }
+                        }
+                    }
+                });
+        });
+}
+
+void cell_daemon::lead(std::uint64_t epoch)
+{
+    base::log(base::log_level::info, log_part, "Leads. epoch={}", epoch);
+    metrics_.count_event("takeover");
+    metrics_.set_value("leader_epoch", static_cast<double>(epoch));
+    leadership::hooks callbacks;
+    callbacks.on_lost = [this](const std::string& reason)
+    {
+        step_down(reason);
+    };
+    callbacks.committer = [this](std::size_t part) -> row_committer&
+    {
+        return committers_[part];
+    };
+    callbacks.commit = [this]
+    {
+        commit();
+    };
+    callbacks.ticket_slots = [this]
+    {
+        return dispatcher_.slots(clock_.now());
+    };
+    callbacks.ask_tickets = [this](const fleet::ticket_order& next, auto done)
+    {
+        ask_tickets(next, std::move(done));
+    };
+    callbacks.on_store = [this](bool answered)
+    {
+        note_store(answered, election_.store_delay());
+    };
+    leadership_ =
+        std::make_unique<leadership>(loop_, clock_, options_, outside_, table_,
+                                     metrics_, epoch, std::move(callbacks));
+    if (const auto known = catalogue())
+    {
+        leadership_->set_catalogue(known);
+    }
+    leadership_->begin();
+    send_status();
+}
+
+void cell_daemon::step_down(const std::string& reason)
+{
+    if (!leadership_)
+    {
+        return;
+    }
+    base::log(base::log_level::warning, log_part,
+              "Leads no more. epoch={} reason={}", leadership_->epoch(),
+              reason);
+    leadership_.reset();
+    for (row_committer& committer : committers_)
+    {
+        committer.drop_updates();
+    }
+    send_status();
+}
+
+void cell_daemon::send_status()
+{
+    const base::time_point now = clock_.now();
+    wire::cell_status status;
+    if (const auto& row = election_.row())
+    {
+        status.epoch = row->epoch;
+        status.leader = row->daemon;
+    }
+    status.leading = leadership_ != nullptr;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        status.stopping = published_.stopping;
+        status.catalogue_version =
+            published_.catalogue ? published_.catalogue->version : 0;
+    }
+    status.store_age = election_.store_age(now);
+    status.leader_age = election_.leader_age(now);
+    status.store_delay = election_.store_delay();
+    if (leadership_ && leadership_->loaded())
+    {
+        const auto counts = leadership_->waiting_counts();
+        publish_waiting(counts);
+        for (const auto& [queue, count] : counts)
+        {
+            status.queues.push_back({queue, static_cast<std::uint32_t>(count)});
+        }
+    }
+    links_->broadcast(status);
+}
+
+void cell_daemon::publish_waiting(const std::map<std::string, int>& counts)
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    published_.waiting = counts;
+    published_.waiting_at = clock_.now();
+    published_.waiting_known = true;
+}
+
+void cell_daemon::on_message(const base::daemon_id& peer,
+                             const wire::message& value)
+{
+    std::visit([&](const auto& m) { handle(peer, m); }, value);
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::cell_status& m)
+{
+    election_.on_status(peer, m, clock_.now());
+    if (leadership_ && m.epoch > leadership_->epoch())
+    {
+        step_down("peer " + peer.text() + " knows a later epoch");
+    }
+    const auto known = catalogue();
+    if (known && m.catalogue_version < known->version)
+    {
+        links_->send(peer, wire::catalogue_copy{known->version, known->source});
+    }
+    const auto& row = election_.row();
+    if (m.leading && row && row->daemon == peer && m.epoch == row->epoch)
+    {
+        std::map<std::string, int> counts;
+        for (const wire::queue_count& count : m.queues)
+        {
+            counts[count.queue] = static_cast<int>(count.waiting);
+        }
+        publish_waiting(counts);
+    }
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::catalogue_copy& m)
+{
+    take_catalogue(m.document, "peer");
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::job_copy& m)
+{
+    if (leadership_)
+    {
+        leadership_->on_job(m.job, m.row);
+    }
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::cancel_notice& m)
+{
+    if (leadership_)
+    {
+        leadership_->on_cancel(m.job);
+    }
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::state_query& m)
+{
+    const auto state =
+        leadership_ ? leadership_->state_of(m.job) : std::nullopt;
+    links_->send(peer, wire::state_answer{
+                           m.nonce, state ? std::string(jobs::name_of(*state))
+                                          : std::string()});
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::state_answer& m)
+{
+    const auto found = questions_.find(m.nonce);
+    if (found == questions_.end())
+    {
+        return;
+    }
+    const question asked = std::move(found->second);
+    questions_.erase(found);
+    const auto state = jobs::state_named(m.state);
+    if (state)
+    {
+        asked.done(*state);
+        return;
+    }
+    state_from_store(asked.job, asked.done);
+}
+
+void cell_daemon::tell_leader(const wire::message& value)
+{
+    if (leadership_)
+    {
+        std::visit([this](const auto& m) { handle(options_.daemon, m); },
+                   value);
+        return;
+    }
+    if (const auto& row = election_.row())
+    {
+        // Without a connection the leader finds the row in the store.
+        links_->send(row->daemon, value);
+    }
+}
+
+void cell_daemon::ask_tickets(
+    const fleet::ticket_order& next,
+    std::function<void(std::optional<std::vector<fleet::ticket_grant>>)> done)
+{
+    const base::daemon_id caller =
+        dispatcher_.take(next.expected, clock_.now());
+    const auto limit = next.expected + options_.ticket_slack;
+    if (caller == options_.daemon)
+    {
+        outside_.tickets(
+            next.step, next.workers, limit,
+            [this, caller,
+             done](std::optional<std::vector<fleet::ticket_grant>> grants)
+            {
+                loop_.post(
+                    [this, caller, done, grants = std::move(grants)]
+                    {
+                        dispatcher_.release(caller, clock_.now());
+                        done(grants);
+                    });
+            });
+        return;
+    }
+    wire::ticket_query query;
+    query.nonce = next_nonce_++;
+    query.job = next.step.job;
+    query.occurrence = static_cast<std::uint32_t>(next.step.occurrence);
+    query.step = static_cast<std::uint32_t>(next.step.step);
+    query.limit = limit;
+    query.workers = next.workers;
+    const auto finish =
+        [this](std::uint64_t nonce,
+               std::optional<std::vector<fleet::ticket_grant>> grants)
+    {
+        const auto found = ticket_questions_.find(nonce);
+        if (found != ticket_questions_.end())
+        {
+            const ticket_question asked = std::move(found->second);
+            ticket_questions_.erase(found);
+            dispatcher_.release(asked.peer, clock_.now());
+            asked.done(std::move(grants));
+        }
+    };
+    ticket_questions_[query.nonce] = {caller, std::move(done)};
+    if (!links_->send(caller, query))
+    {
+        loop_.post([finish, nonce = query.nonce]
+                   { finish(nonce, std::nullopt); });
+        return;
+    }
+    loop_.after(limit + peer_round_trip,
+                [finish, nonce = query.nonce] { finish(nonce, std::nullopt); });
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::ticket_query& m)
+{
+    const jobs::step_key step{m.job, static_cast<int>(m.occurrence),
+                              static_cast<int>(m.step)};
+    outside_.tickets(step, m.workers, m.limit,
+                     [this, peer, nonce = m.nonce](
+                         std::optional<std::vector<fleet::ticket_grant>> grants)
+                     {
+                         wire::ticket_answer answer;
+                         answer.nonce = nonce;
+                         answer.answered = grants.has_value();
+                         for (fleet::ticket_grant& grant :
+                              grants ? *grants
+                                     : std::vector<fleet::ticket_grant>())
+                         {
+                             answer.grants.push_back(
+                                 {grant.worker, std::move(grant.ticket)});
+                         }
+                         links_->send(peer, answer);
+                     });
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::ticket_answer& m)
+{
+    const auto found = ticket_questions_.find(m.nonce);
+    if (found == ticket_questions_.end())
+    {
+        return;
+    }
+    const ticket_question asked = std::move(found->second);
+    ticket_questions_.erase(found);
+    dispatcher_.release(asked.peer, clock_.now());
+    std::optional<std::vector<fleet::ticket_grant>> grants;
+    if (m.answered)
+    {
+        grants.emplace();
+        for (const wire::granted_ticket& grant : m.grants)
+        {
+            grants->push_back({grant.worker, grant.ticket});
+        }
+    }
+    asked.done(std::move(grants));
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/leader_election.cpp
@@ -0,0 +1,228 @@
+// When to stand for leader.
+
+#include <coltsfootrack/cell/leader_election.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+// The weight of the newest delay in the mean.
+constexpr double newest_weight = 0.2;
+
+std::chrono::milliseconds span_ms(base::duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span);
+}
+
+} // namespace
+
+leader_election::leader_election(base::daemon_id self,
+                                 std::uint64_t incarnation,
+                                 const election_options& options)
+    : self_(std::move(self))
+    , incarnation_(incarnation)
+    , options_(options)
+{
+}
+
+void leader_election::on_row(const leader_row& row, base::time_point now)
+{
+    if (row_ && row_->version != 0 && row.version != 0 &&
+        (row.epoch < row_->epoch || row.version <= row_->version))
+    {
+        return;
+    }
+    row_ = row;
+    row_at_ = now;
+    vacant_since_.reset();
+}
+
+void leader_election::on_status(const base::daemon_id& id,
+                                const wire::cell_status& status,
+                                base::time_point now)
+{
+    peer& sender = peers_[id];
+    sender.status = status;
+    sender.status_at = now;
+}
+
+void leader_election::on_link(const base::daemon_id& id, bool up,
+                              base::time_point now)
+{
+    peer& other = peers_[id];
+    other.up = up;
+    other.changed_at = now;
+}
+
+void leader_election::on_store_answer(std::chrono::milliseconds delay,
+                                      base::time_point now)
+{
+    const auto sample = static_cast<double>(delay.count());
+    store_delay_ms_ = store_at_ ? store_delay_ms_ * (1 - newest_weight) +
+                                      sample * newest_weight
+                                : sample;
+    store_at_ = now;
+}
+
+void leader_election::stop()
+{
+    stopping_ = true;
+}
+
+bool leader_election::is_self() const
+{
+    return row_ && row_->daemon == self_ && row_->incarnation == incarnation_;
+}
+
+std::optional<std::chrono::milliseconds>
+leader_election::store_age(base::time_point now) const
+{
+    if (!store_at_)
+    {
+        return std::nullopt;
+    }
+    return span_ms(now - *store_at_);
+}
+
+std::optional<std::chrono::milliseconds>
+leader_election::leader_age(base::time_point now) const
+{
+    if (is_self())
+    {
+        return std::chrono::milliseconds(0);
+    }
+    const auto found = row_ ? peers_.find(row_->daemon) : peers_.end();
+    if (found == peers_.end() || !found->second.status ||
+        !found->second.status->leading ||
+        found->second.status->epoch < row_->epoch)
+    {
+        return std::nullopt;
+    }
+    return span_ms(now - found->second.status_at);
+}
+
+std::chrono::milliseconds leader_election::store_delay() const
+{
+    return std::chrono::milliseconds(
+        static_cast<std::int64_t>(store_delay_ms_));
+}
+
+bool leader_election::leader_reachable() const
+{
+    if (is_self())
+    {
+        return true;
+    }
+    const auto found = row_ ? peers_.find(row_->daemon) : peers_.end();
+    return found != peers_.end() && found->second.up;
+}
+
+bool leader_election::vouched_for(base::time_point now) const
+{
+    return std::any_of(
+        peers_.begin(), peers_.end(),
+        [&](const auto& entry)
+        {
+            const peer& other = entry.second;
+            return entry.first != row_->daemon && other.status &&
+                   now - other.status_at < options_.second_hand &&
+                   other.status->epoch == row_->epoch &&
+                   other.status->leader_age &&
+                   *other.status->leader_age < options_.second_hand;
+        });
+}
+
+bool leader_election::vacant(base::time_point now) const
+{
+    if (row_->version == 0)
+    {
+        return true;
+    }
+    if (row_->daemon == self_)
+    {
+        return row_->incarnation != incarnation_;
+    }
+    const auto found = peers_.find(row_->daemon);
+    const peer* leader = found == peers_.end() ? nullptr : &found->second;
+    const bool status_current = leader != nullptr && leader->status &&
+                                leader->status->epoch >= row_->epoch;
+    if (status_current && leader->status->stopping)
+    {
+        return true;
+    }
+    const auto own_age = store_age(now);
+    const auto theirs = status_current
+                            ? leader->status->store_age
+                            : std::optional<std::chrono::milliseconds>();
+    if (status_current && theirs && *theirs > options_.store_silence &&
+        own_age && *own_age < options_.store_fresh)
+    {
+        return true;
+    }
+    // A new leader gets the same time as one that falls silent.
+    const base::time_point heard =
+        status_current ? std::max(leader->status_at, row_at_) : row_at_;
+    const bool cut_off = leader != nullptr && !leader->up &&
+                         now - leader->changed_at > options_.link_grace &&
+                         now - row_at_ > options_.silence;
+    if (!cut_off && now - heard <= options_.silence)
+    {
+        return false;
+    }
+    return !vouched_for(now);
+}
+
+bool leader_election::better(std::chrono::milliseconds delay,
+                             const base::daemon_id& other) const
+{
+    const auto theirs = delay / options_.delay_step;
+    const auto own = store_delay() / options_.delay_step;
+    return theirs != own ? theirs < own : other < self_;
+}
+
+int leader_election::rank(base::time_point now) const
+{
+    return static_cast<int>(std::count_if(
+        peers_.begin(), peers_.end(),
+        [&](const auto& entry)
+        {
+            const auto& [id, other] = entry;
+            const bool standing =
+                other.up && other.status && !other.status->stopping &&
+                now - other.status_at < options_.candidate_age &&
+                other.status->store_age &&
+                *other.status->store_age < options_.store_silence;
+            return standing && id != row_->daemon &&
+                   better(other.status->store_delay, id);
+        }));
+}
+
+std::optional<leader_row> leader_election::decide(base::time_point now)
+{
+    const auto age = store_age(now);
+    if (stopping_ || !row_ || !age || *age > options_.store_silence ||
+        !vacant(now))
+    {
+        vacant_since_.reset();
+        return std::nullopt;
+    }
+    if (!vacant_since_)
+    {
+        vacant_since_ = now;
+    }
+    if (now - *vacant_since_ < rank(now) * options_.rank_pause)
+    {
+        return std::nullopt;
+    }
+    leader_row claim;
+    claim.epoch = row_->epoch + 1;
+    claim.daemon = self_;
+    claim.incarnation = incarnation_;
+    claim.version = row_->version;
+    return claim;
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/leadership.cpp
@@ -0,0 +1,371 @@
+// The work of the leader: orders, renewals, and what is stored of jobs. The
+// takeover is in leadership_takeover.cpp.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/leadership.hpp>
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "leader";
+
+// The pause before the next renewal of a worker that refused or did not
+// answer.
+constexpr std::chrono::milliseconds refused_pause{200};
+
+} // namespace
+
+leadership::leadership(daemon::control_loop& loop, const base::clock& clock,
+                       const cell_options& options, const ports& outside,
+                       const job_table& table, daemon::metrics& counters,
+                       std::uint64_t epoch, hooks callbacks)
+    : loop_(loop)
+    , clock_(clock)
+    , options_(
+          [&]
+          {
+              cell_options own = options;
+              own.fleet.epoch = epoch;
+              return own;
+          }())
+    , outside_(outside)
+    , table_(table)
+    , metrics_(counters)
+    , hooks_(std::move(callbacks))
+    , fleet_(options_.fleet, clock.now())
+    , fences_(table.parts(), 0)
+    , last_step_(clock.now())
+    , alive_(std::make_shared<bool>(true))
+{
+}
+
+leadership::~leadership() = default;
+
+std::function<void()> leadership::guarded(std::function<void()> action) const
+{
+    return [alive = std::weak_ptr<bool>(alive_), action = std::move(action)]
+    {
+        if (!alive.expired())
+        {
+            action();
+        }
+    };
+}
+
+template <class Result>
+std::function<void(Result)>
+leadership::posted(std::function<void(Result)> action) const
+{
+    return [&loop = loop_, alive = std::weak_ptr<bool>(alive_),
+            action = std::move(action)](Result result)
+    {
+        loop.post(
+            [alive, action, result = std::move(result)]
+            {
+                if (!alive.expired())
+                {
+                    action(result);
+                }
+            });
+    };
+}
+
+void leadership::lose(const std::string& reason)
+{
+    if (lost_)
+    {
+        return;
+    }
+    lost_ = true;
+    // The owner destroys this object, so it is told from a turn of its own.
+    loop_.post(guarded([this, reason] { hooks_.on_lost(reason); }));
+}
+
+void leadership::set_catalogue(std::shared_ptr<const fleet::catalogue> value)
+{
+    fleet_.set_catalogue(std::move(value));
+    request_step();
+}
+
+void leadership::on_job(const base::job_id& id, const std::string& row)
+{
+    if (!loaded_)
+    {
+        early_jobs_[id] = row;
+        return;
+    }
+    const auto job = jobs::decode_submission(row);
+    if (!job.ok())
+    {
+        base::log(base::log_level::error, log_part,
+                  "Job row cannot be read. job={} error={}", id.text(),
+                  std::string(job.status().message()));
+        return;
+    }
+    // A job that came since the parts were fenced: no former leader has
+    // started it.
+    fleet_.add_job(id, *job, {}, false, clock_.now(), clock_.wall());
+    request_step();
+}
+
+void leadership::on_cancel(const base::job_id& id)
+{
+    if (!loaded_)
+    {
+        early_cancels_.push_back(id);
+        return;
+    }
+    fleet_.cancel_job(id, clock_.now());
+    request_step();
+}
+
+std::optional<jobs::job_state>
+leadership::state_of(const base::job_id& job) const
+{
+    return loaded_ ? fleet_.state_of(job) : std::nullopt;
+}
+
+std::map<std::string, int> leadership::waiting_counts() const
+{
+    return fleet_.waiting_counts();
+}
+
+void leadership::request_step()
+{
+    if (step_requested_ || lost_)
+    {
+        return;
+    }
+    step_requested_ = true;
+    const base::time_point now = clock_.now();
+    const auto due = last_step_ + options_.step_pause;
+    if (due <= now)
+    {
+        loop_.post(guarded([this] { step(); }));
+        return;
+    }
+    loop_.after(due - now, guarded([this] { step(); }));
+}
+
+void leadership::step()
+{
+    step_requested_ = false;
+    if (!loaded_ || lost_)
+    {
+        return;
+    }
+    last_step_ = clock_.now();
+    const std::vector<fleet::order> orders =
+        fleet_.step(last_step_, clock_.wall(), hooks_.ticket_slots());
+    for (const fleet::order& next : orders)
+    {
+        std::visit([this](const auto& value) { carry_out(value); }, next);
+    }
+    renew_all();
+    hooks_.commit();
+}
+
+void leadership::carry_out(const fleet::start_order& next)
+{
+    const auto found = fleet_.workers().find(next.worker);
+    const auto lease = fleet_.grant_lease(next.worker, clock_.now());
+    if (found == fleet_.workers().end() || !lease)
+    {
+        fleet_.on_start(next.worker, next.task, next.run,
+                        fleet::order_outcome::unhealthy, clock_.now());
+        return;
+    }
+    metrics_.count_event("task_start_ordered");
+    base::log(base::log_level::debug, log_part,
+              "Start ordered. job={} step={} task={} run={} worker={}",
+              next.task.step.job.text(), next.task.step.step, next.task.index,
+              next.run, next.worker.text());
+    outside_.workers.start(
+        found->second.listing, epoch(), next, *lease,
+        posted<fleet::order_outcome>(
+            [this, worker = next.worker, task = next.task,
+             run = next.run](fleet::order_outcome outcome)
+            {
+                if (outcome != fleet::order_outcome::carried_out)
+                {
+                    base::log(base::log_level::info, log_part,
+                              "Start not confirmed. job={} step={} task={} "
+                              "run={} worker={} outcome={}",
+                              task.step.job.text(), task.step.step, task.index,
+                              run, worker.text(), static_cast<int>(outcome));
+                }
+                note_outcome(outcome, worker);
+                fleet_.on_start(worker, task, run, outcome, clock_.now());
+                if (outcome != fleet::order_outcome::carried_out)
+                {
+                    request_step();
+                }
+            }));
+}
+
+void leadership::carry_out(const fleet::stop_order& next)
+{
+    const auto found = fleet_.workers().find(next.worker);
+    if (found == fleet_.workers().end())
+    {
+        return;
+    }
+    metrics_.count_event("task_stop_ordered");
+    outside_.workers.stop(found->second.listing, epoch(), next,
+                          posted<fleet::order_outcome>(
+                              [this, worker = next.worker, task = next.task,
+                               run = next.run](fleet::order_outcome outcome)
+                              {
+                                  note_outcome(outcome, worker);
+                                  fleet_.on_stop(worker, task, run, outcome,
+                                                 clock_.now());
+                              }));
+}
+
+void leadership::carry_out(const fleet::pace_order& next)
+{
+    const auto found = fleet_.workers().find(next.worker);
+    if (found == fleet_.workers().end())
+    {
+        return;
+    }
+    metrics_.count_event("task_pace_ordered");
+    outside_.workers.pace(
+        found->second.listing, epoch(), next,
+        posted<fleet::order_outcome>(
+            [this, worker = next.worker](fleet::order_outcome outcome)
+            { note_outcome(outcome, worker); }));
+}
+
+void leadership::carry_out(const fleet::ticket_order& next)
+{
+    metrics_.count_event("ticket_request");
+    hooks_.ask_tickets(
+        next,
+        [this, alive = std::weak_ptr<bool>(alive_),
+         next](std::optional<std::vector<fleet::ticket_grant>> grants)
+        {
+            if (alive.expired())
+            {
+                return;
+            }
+            if (!grants)
+            {
+                metrics_.count_event("ticket_request_failed");
+            }
+            fleet_.on_tickets(next.step, next.workers, grants,
+                              clock_.now() + next.valid_for);
+            request_step();
+        });
+}
+
+void leadership::carry_out(const fleet::save_order& next)
+{
+    const std::size_t part = table_.part_of(next.job);
+    hooks_.committer(part).update(
+        table_.progress(next.job), next.text,
+        [this, alive = std::weak_ptr<bool>(alive_), job = next.job,
+         change = next.change](write_status status)
+        {
+            if (alive.expired())
+            {
+                return;
+            }
+            if (status == write_status::fenced)
+            {
+                lose("the fence of a job part has changed");
+                return;
+            }
+            fleet_.on_saved(job, change, clock_.now());
+            // Workers learn at once which ends they may forget.
+            for (auto& [id, state] : renewals_)
+            {
+                state.next_at = std::min(state.next_at, clock_.now());
+            }
+            request_step();
+        });
+}
+
+void leadership::renew_all()
+{
+    const base::time_point now = clock_.now();
+    for (auto it = renewals_.begin(); it != renewals_.end();)
+    {
+        if (!fleet_.has_worker(it->first) && !it->second.in_flight)
+        {
+            it = renewals_.erase(it);
+            continue;
+        }
+        ++it;
+    }
+    for (const auto& [id, worker] : fleet_.workers())
+    {
+        renewal& state = renewals_[id];
+        if (!state.in_flight && state.next_at <= now)
+        {
+            renew(id, state);
+        }
+    }
+}
+
+void leadership::renew(const base::worker_id& id, renewal& state)
+{
+    const base::time_point now = clock_.now();
+    const fleet::worker_record& worker = fleet_.workers().at(id);
+    lease_renewal next;
+    next.epoch = epoch();
+    next.acknowledged = fleet_.acknowledged(id);
+    next.lease_end = fleet_.grant_lease(id, now);
+    // The first answer is wanted at once, and that of a worker that may be
+    // gone soon.
+    const bool waits = worker.synced && !worker.silent &&
+                       worker.ends_seen == worker.ends_durable;
+    next.wait = waits ? options_.renewal_wait : std::chrono::milliseconds(0);
+    state.in_flight = true;
+    outside_.workers.renew(worker.listing, next,
+                           posted<renewal_result>(
+                               [this, id, now](renewal_result result)
+                               {
+                                   result.report.sent_at = now;
+                                   on_renewed(id, result);
+                               }));
+}
+
+void leadership::on_renewed(const base::worker_id& id,
+                            const renewal_result& result)
+{
+    renewal& state = renewals_[id];
+    state.in_flight = false;
+    const base::time_point now = clock_.now();
+    note_outcome(result.outcome, id);
+    if (result.outcome != fleet::order_outcome::carried_out)
+    {
+        fleet_.on_silence(id);
+        state.next_at = now + refused_pause;
+        loop_.after(refused_pause, guarded([this] { request_step(); }));
+        return;
+    }
+    fleet_.on_report(id, result.report, now);
+    const auto worker = fleet_.workers().find(id);
+    const bool waits = worker != fleet_.workers().end() &&
+                       worker->second.ends_seen != worker->second.ends_durable;
+    state.next_at = waits ? now + options_.renewal_pause : now;
+    request_step();
+}
+
+void leadership::note_outcome(fleet::order_outcome outcome,
+                              const base::worker_id& worker)
+{
+    if (outcome == fleet::order_outcome::fenced)
+    {
+        lose("worker " + worker.text() + " has seen a higher epoch");
+    }
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/leadership_takeover.cpp
@@ -0,0 +1,330 @@
+// The takeover of a new leader: it fences the job parts, reads the jobs, and
+// finds the workers.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/leadership.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "leader";
+
+// The pause after a call of the store that failed.
+constexpr std::chrono::milliseconds retry_pause{100};
+
+// Passes an answer of the store on to the control thread.
+template <class Result, class Action>
+auto post_to(daemon::control_loop& loop, std::weak_ptr<bool> alive,
+             Action action)
+{
+    return [&loop, alive = std::move(alive),
+            action = std::move(action)](Result result)
+    {
+        loop.post(
+            [alive, action, result = std::move(result)]
+            {
+                if (!alive.expired())
+                {
+                    action(result);
+                }
+            });
+    };
+}
+
+std::uint64_t epoch_of(const std::string& value)
+{
+    // The row holds the decimal epoch alone; anything else counts as none.
+    std::uint64_t epoch = 0;
+    for (const char c : value)
+    {
+        if (c < '0' || c > '9')
+        {
+            return 0;
+        }
+        epoch = epoch * 10 + static_cast<std::uint64_t>(c - '0');
+    }
+    return epoch;
+}
+
+} // namespace
+
+void leadership::begin()
+{
+    base::log(base::log_level::info, log_part, "Takeover begins. epoch={}",
+              epoch());
+    for (std::size_t part = 0; part < table_.parts(); ++part)
+    {
+        fence_part(part);
+    }
+}
+
+void leadership::fence_part(std::size_t part)
+{
+    outside_.store.read_row(
+        table_.fence(part),
+        post_to<read_result>(
+            loop_, alive_,
+            [this, part](const read_result& result)
+            {
+                hooks_.on_store(result.status == read_status::ok);
+                if (result.status != read_status::ok)
+                {
+                    loop_.after(retry_pause,
+                                guarded([this, part] { fence_part(part); }));
+                    return;
+                }
+                const bool exists = !result.rows.empty();
+                const std::uint64_t stored =
+                    exists ? epoch_of(result.rows.front().value) : 0;
+                const std::uint64_t version =
+                    exists ? result.rows.front().version : 0;
+                if (stored > epoch())
+                {
+                    lose("a job part is fenced by a later leader");
+                }
+                else if (stored == epoch())
+                {
+                    part_fenced(part, version);
+                }
+                else
+                {
+                    write_fence(part, version);
+                }
+            }));
+}
+
+void leadership::write_fence(std::size_t part, std::uint64_t version)
+{
+    const row_id row = table_.fence(part);
+    transaction write;
+    write.conditions.push_back({row, version});
+    write.writes.push_back({row, std::to_string(epoch())});
+    outside_.store.transact(
+        write, post_to<transaction_result>(
+                   loop_, alive_,
+                   [this, part](const transaction_result& result)
+                   {
+                       const bool known =
+                           result.status != transaction_status::unknown &&
+                           result.status != transaction_status::refused;
+                       hooks_.on_store(known);
+                       if (result.status == transaction_status::committed)
+                       {
+                           part_fenced(part, result.version);
+                           return;
+                       }
+                       // The row tells which write was applied.
+                       loop_.after(retry_pause,
+                                   guarded([this, part] { fence_part(part); }));
+                   }));
+}
+
+void leadership::part_fenced(std::size_t part, std::uint64_t version)
+{
+    if (lost_)
+    {
+        return;
+    }
+    fences_[part] = version;
+    hooks_.committer(part).set_fence(
+        row_condition{table_.fence(part), version});
+    load_progress(part, "");
+}
+
+void leadership::load_progress(std::size_t part, const std::string& from)
+{
+    outside_.store.read(
+        job_table::progress_table, table_.names()[part], from,
+        post_to<read_result>(
+            loop_, alive_,
+            [this, part, from](const read_result& result)
+            {
+                hooks_.on_store(result.status == read_status::ok);
+                if (result.status != read_status::ok)
+                {
+                    loop_.after(retry_pause,
+                                guarded([this, part, from]
+                                        { load_progress(part, from); }));
+                    return;
+                }
+                for (const stored_row& row : result.rows)
+                {
+                    hooks_.committer(part).set_version(row.id, row.version);
+                    const auto value = jobs::decode_progress(row.value);
+                    if (value.ok())
+                    {
+                        progress_[base::job_id(row.id.key)] = *value;
+                    }
+                    else
+                    {
+                        base::log(base::log_level::error, log_part,
+                                  "Progress row cannot be read. job={}",
+                                  row.id.key);
+                    }
+                }
+                if (result.more && !result.rows.empty())
+                {
+                    load_progress(part, result.rows.back().id.key + ' ');
+                    return;
+                }
+                if (++parts_loaded_ == table_.parts())
+                {
+                    follow_jobs();
+                }
+            }));
+}
+
+void leadership::follow_jobs()
+{
+    table_follower::hooks callbacks;
+    callbacks.on_answer = [this](bool answered)
+    {
+        hooks_.on_store(answered);
+    };
+    callbacks.on_changes = [this](const std::vector<stored_row>& rows)
+    {
+        take_job_rows(rows);
+        request_step();
+    };
+    callbacks.on_snapshot = [this](const std::vector<stored_row>& rows)
+    {
+        take_job_rows(rows);
+        if (loaded_)
+        {
+            return;
+        }
+        loaded_ = true;
+        progress_.clear();
+        base::log(base::log_level::info, log_part,
+                  "Jobs loaded. epoch={} rows={} jobs={}", epoch(), rows.size(),
+                  fleet_.jobs().size());
+        for (const auto& [id, row] : std::exchange(early_jobs_, {}))
+        {
+            on_job(id, row);
+        }
+        for (const base::job_id& id : std::exchange(early_cancels_, {}))
+        {
+            on_cancel(id);
+        }
+        follow_workers();
+        loop_.every(options_.step_period, guarded([this] { request_step(); }));
+    };
+    jobs_ = std::make_unique<table_follower>(
+        loop_, outside_.store, job_table::jobs_table, table_.names(),
+        options_.follow_wait, options_.follow_pause, std::move(callbacks));
+    jobs_->start();
+}
+
+void leadership::take_job_rows(const std::vector<stored_row>& rows)
+{
+    const base::time_point now = clock_.now();
+    std::vector<base::job_id> cancelled;
+    for (const stored_row& row : rows)
+    {
+        if (!row.exists())
+        {
+            continue;
+        }
+        if (const auto id = job_table::cancelled_job(row.id.key))
+        {
+            cancelled.push_back(*id);
+            continue;
+        }
+        const base::job_id id(row.id.key);
+        if (fleet_.jobs().count(id) != 0)
+        {
+            continue;
+        }
+        const auto job = jobs::decode_submission(row.value);
+        if (!job.ok())
+        {
+            base::log(base::log_level::error, log_part,
+                      "Job row cannot be read. job={} error={}", id.text(),
+                      std::string(job.status().message()));
+            continue;
+        }
+        const auto stored = progress_.find(id);
+        const bool inherited = row.version <= fences_[table_.part_of(id)];
+        fleet_.add_job(id, *job,
+                       stored == progress_.end() ? jobs::job_progress()
+                                                 : stored->second,
+                       inherited, now, clock_.wall());
+    }
+    for (const base::job_id& id : cancelled)
+    {
+        fleet_.cancel_job(id, now);
+    }
+}
+
+void leadership::follow_workers()
+{
+    table_follower::hooks callbacks;
+    callbacks.on_answer = [this](bool answered)
+    {
+        hooks_.on_store(answered);
+    };
+    callbacks.on_snapshot = [this](const std::vector<stored_row>& rows)
+    {
+        take_worker_rows(rows, true);
+    };
+    callbacks.on_changes = [this](const std::vector<stored_row>& rows)
+    {
+        take_worker_rows(rows, false);
+    };
+    workers_ = std::make_unique<table_follower>(
+        loop_, outside_.store, outside_.workers.list_table,
+        std::vector<std::string>{""}, options_.follow_wait,
+        options_.follow_pause, std::move(callbacks));
+    workers_->start();
+}
+
+void leadership::take_worker_rows(const std::vector<stored_row>& rows, bool all)
+{
+    const base::time_point now = clock_.now();
+    std::map<base::worker_id, bool> listed;
+    for (const stored_row& row : rows)
+    {
+        const base::worker_id id(row.id.key);
+        if (!row.exists())
+        {
+            fleet_.unlist_worker(id);
+            continue;
+        }
+        const auto listing =
+            outside_.workers.read_listing(row.id.key, row.value);
+        if (!listing.ok())
+        {
+            metrics_.count_event("worker_row_unreadable");
+            base::log(base::log_level::warning, log_part,
+                      "Worker row names no worker. key={} error={}", row.id.key,
+                      std::string(listing.status().message()));
+            fleet_.unlist_worker(id);
+            continue;
+        }
+        listed[id] = true;
+        fleet_.list_worker(*listing, now);
+    }
+    if (all)
+    {
+        std::vector<base::worker_id> gone;
+        for (const auto& [id, worker] : fleet_.workers())
+        {
+            if (listed.count(id) == 0)
+            {
+                gone.push_back(id);
+            }
+        }
+        for (const base::worker_id& id : gone)
+        {
+            fleet_.unlist_worker(id);
+        }
+    }
+    request_step();
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/row_committer.cpp
@@ -0,0 +1,240 @@
+// Group commit of rows of one part.
+
+#include <coltsfootrack/cell/row_committer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+
+void row_committer::set_fence(std::optional<row_condition> fence)
+{
+    fence_ = std::move(fence);
+}
+
+void row_committer::insert(const row_id& row, std::string value,
+                           base::time_point deadline, callback done)
+{
+    if (waiting_.size() >= max_waiting)
+    {
+        done(write_status::refused);
+        return;
+    }
+    entry added;
+    added.row = row;
+    added.value = std::move(value);
+    added.is_insert = true;
+    added.deadline = deadline;
+    added.done.push_back(std::move(done));
+    waiting_.push_back(std::move(added));
+}
+
+void row_committer::update(const row_id& row, std::string value, callback done)
+{
+    for (entry& other : waiting_)
+    {
+        if (!other.is_insert && other.row == row)
+        {
+            other.value = std::move(value);
+            other.done.push_back(std::move(done));
+            return;
+        }
+    }
+    entry added;
+    added.row = row;
+    added.value = std::move(value);
+    added.done.push_back(std::move(done));
+    waiting_.push_back(std::move(added));
+}
+
+void row_committer::set_version(const row_id& row, std::uint64_t version)
+{
+    versions_[row] = version;
+}
+
+void row_committer::finish(entry& ended, write_status status)
+{
+    for (const callback& done : ended.done)
+    {
+        done(status);
+    }
+}
+
+std::optional<transaction> row_committer::next(base::time_point now)
+{
+    if (!batch_.empty())
+    {
+        return std::nullopt;
+    }
+    std::vector<entry> expired;
+    for (auto it = waiting_.begin(); it != waiting_.end();)
+    {
+        if (it->is_insert && it->deadline <= now)
+        {
+            expired.push_back(std::move(*it));
+            it = waiting_.erase(it);
+            continue;
+        }
+        ++it;
+    }
+    for (entry& late : expired)
+    {
+        finish(late,
+               late.uncertain ? write_status::unknown : write_status::refused);
+    }
+    if (waiting_.empty() || now < not_before_)
+    {
+        return std::nullopt;
+    }
+    transaction group;
+    bool fenced = false;
+    while (!waiting_.empty() && batch_.size() < max_batch)
+    {
+        entry first = std::move(waiting_.front());
+        waiting_.pop_front();
+        const auto known = versions_.find(first.row);
+        const std::uint64_t version =
+            first.is_insert || known == versions_.end() ? 0 : known->second;
+        group.conditions.push_back({first.row, version});
+        group.writes.push_back({first.row, first.value});
+        fenced = fenced || !first.is_insert;
+        batch_.push_back(std::move(first));
+    }
+    if (fenced && fence_)
+    {
+        group.conditions.push_back(*fence_);
+    }
+    return group;
+}
+
+void row_committer::retry(std::vector<entry>& batch, base::time_point now,
+                          bool uncertain)
+{
+    not_before_ = now + retry_pause;
+    std::vector<entry> refused;
+    for (auto it = batch.rbegin(); it != batch.rend(); ++it)
+    {
+        it->uncertain = it->uncertain || uncertain;
+        // A caller learns at once of a refusal: the store has done nothing.
+        if (it->is_insert && !it->uncertain)
+        {
+            refused.push_back(std::move(*it));
+            continue;
+        }
+        waiting_.push_front(std::move(*it));
+    }
+    for (entry& ended : refused)
+    {
+        finish(ended, write_status::refused);
+    }
+}
+
+// Whether the entry is settled by the row as it is now; otherwise it is sent
+// again.
+bool row_committer::settle_conflict(entry& next, const stored_row* current)
+{
+    if (current == nullptr)
+    {
+        return false;
+    }
+    if (!next.is_insert)
+    {
+        // Under the fence nobody else writes here, so the row holds an earlier
+        // attempt of this process, or was there before it.
+        versions_[next.row] = current->version;
+        return false;
+    }
+    if (!current->exists())
+    {
+        return false;
+    }
+    finish(next, current->value == next.value ? write_status::stored
+                                              : write_status::exists);
+    return true;
+}
+
+void row_committer::on_result(const transaction_result& result,
+                              base::time_point now)
+{
+    std::vector<entry> batch = std::exchange(batch_, {});
+    switch (result.status)
+    {
+    case transaction_status::committed:
+        for (entry& stored : batch)
+        {
+            if (!stored.is_insert)
+            {
+                versions_[stored.row] = result.version;
+            }
+        }
+        for (entry& stored : batch)
+        {
+            finish(stored, write_status::stored);
+        }
+        return;
+    case transaction_status::refused:
+        retry(batch, now, false);
+        return;
+    case transaction_status::unknown:
+        retry(batch, now, true);
+        return;
+    case transaction_status::conflict:
+        break;
+    }
+    const auto row_now = [&result](const row_id& id) -> const stored_row*
+    {
+        const auto found =
+            std::find_if(result.current.begin(), result.current.end(),
+                         [&id](const stored_row& row) { return row.id == id; });
+        return found == result.current.end() ? nullptr : &*found;
+    };
+    bool fence_lost = false;
+    if (fence_)
+    {
+        const stored_row* fence = row_now(fence_->row);
+        fence_lost = fence != nullptr && fence->version != fence_->version;
+    }
+    std::vector<entry> again;
+    std::vector<entry> lost;
+    for (entry& next : batch)
+    {
+        if (!next.is_insert && fence_lost)
+        {
+            lost.push_back(std::move(next));
+        }
+        else if (!settle_conflict(next, row_now(next.row)))
+        {
+            again.push_back(std::move(next));
+        }
+    }
+    for (auto it = again.rbegin(); it != again.rend(); ++it)
+    {
+        waiting_.push_front(std::move(*it));
+    }
+    for (entry& ended : lost)
+    {
+        finish(ended, write_status::fenced);
+    }
+}
+
+void row_committer::drop_updates()
+{
+    const auto is_update = [](const entry& next)
+    {
+        return !next.is_insert;
+    };
+    waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), is_update),
+                   waiting_.end());
+    for (entry& next : batch_)
+    {
+        if (!next.is_insert)
+        {
+            next.done.clear();
+        }
+    }
+    versions_.clear();
+    fence_.reset();
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/table_follower.cpp
@@ -0,0 +1,160 @@
+// Reading a table and its changes.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/table_follower.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "store";
+
+// The pause after a read that failed.
+constexpr std::chrono::milliseconds retry_pause{200};
+
+} // namespace
+
+table_follower::table_follower(daemon::control_loop& loop,
+                               const store_port& store, std::string table,
+                               std::vector<std::string> parts,
+                               std::chrono::milliseconds wait,
+                               std::chrono::milliseconds pause, hooks callbacks)
+    : loop_(loop)
+    , store_(store)
+    , table_(std::move(table))
+    , parts_(std::move(parts))
+    , wait_(wait)
+    , pause_(pause)
+    , hooks_(std::move(callbacks))
+    , alive_(std::make_shared<bool>(true))
+{
+}
+
+void table_follower::start()
+{
+    rows_.clear();
+    version_ = 0;
+    read_part(0, "");
+}
+
+void table_follower::later(std::chrono::milliseconds pause,
+                           std::function<void()> action)
+{
+    loop_.after(
+        pause,
+        [alive = std::weak_ptr<bool>(alive_), action = std::move(action)]
+        {
+            if (!alive.expired())
+            {
+                action();
+            }
+        });
+}
+
+void table_follower::read_part(std::size_t part, const std::string& from)
+{
+    store_.read(table_, parts_[part], from,
+                [this, part, alive = std::weak_ptr<bool>(alive_),
+                 &loop = loop_](read_result result)
+                {
+                    loop.post(
+                        [this, part, alive, result = std::move(result)]
+                        {
+                            if (!alive.expired())
+                            {
+                                on_page(part, result);
+                            }
+                        });
+                });
+}
+
+void table_follower::on_page(std::size_t part, const read_result& result)
+{
+    hooks_.on_answer(result.status == read_status::ok);
+    if (result.status != read_status::ok)
+    {
+        later(retry_pause, [this] { start(); });
+        return;
+    }
+    rows_.insert(rows_.end(), result.rows.begin(), result.rows.end());
+    // Changes during the reading are followed again: the oldest page counts.
+    version_ =
+        version_ == 0 ? result.version : std::min(version_, result.version);
+    if (result.more && !result.rows.empty())
+    {
+        // Keys have no control characters, so no key lies between the two.
+        read_part(part, result.rows.back().id.key + ' ');
+        return;
+    }
+    if (part + 1 < parts_.size())
+    {
+        read_part(part + 1, "");
+        return;
+    }
+    const std::vector<stored_row> rows = std::exchange(rows_, {});
+    const std::weak_ptr<bool> alive = alive_;
+    hooks_.on_snapshot(rows);
+    if (!alive.expired())
+    {
+        follow();
+    }
+}
+
+void table_follower::follow()
+{
+    store_.follow(table_, version_, wait_,
+                  [this, alive = std::weak_ptr<bool>(alive_),
+                   &loop = loop_](read_result result)
+                  {
+                      loop.post(
+                          [this, alive, result = std::move(result)]
+                          {
+                              if (!alive.expired())
+                              {
+                                  on_followed(result);
+                              }
+                          });
+                  });
+}
+
+void table_follower::on_followed(const read_result& result)
+{
+    hooks_.on_answer(result.status != read_status::failed);
+    if (result.status == read_status::history_gone)
+    {
+        base::log(base::log_level::info, log_part,
+                  "History is gone, the table is read again. table={} after={}",
+                  table_, version_);
+        start();
+        return;
+    }
+    if (result.status == read_status::failed)
+    {
+        later(retry_pause, [this] { follow(); });
+        return;
+    }
+    version_ = std::max(version_, result.version);
+    if (result.rows.empty())
+    {
+        follow();
+        return;
+    }
+    const std::weak_ptr<bool> alive = alive_;
+    hooks_.on_changes(result.rows);
+    if (alive.expired())
+    {
+        return;
+    }
+    if (pause_.count() > 0)
+    {
+        later(pause_, [this] { follow(); });
+        return;
+    }
+    follow();
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/fleet/candidate.hpp
@@ -0,0 +1,37 @@
+#ifndef COLTSFOOTRACK_SRC_FLEET_CANDIDATE_HPP_INCLUDED
+#define COLTSFOOTRACK_SRC_FLEET_CANDIDATE_HPP_INCLUDED
+
+#include <coltsfootrack/fleet/job_record.hpp>
+#include <coltsfootrack/fleet/queue_policy.hpp>
+#include <coltsfootrack/jobs/step_key.hpp>
+
+#include <tuple>
+#include <vector>
+
+namespace coltsfootrack::fleet
+{
+
+// A step that has tasks to start, or will have soon.
+struct candidate
+{
+    job_record* job = nullptr;
+    const queue_policy* queue = nullptr;
+    step_record* record = nullptr;
+    const jobs::step_spec* spec = nullptr;
+    jobs::step_key key;
+    // The tasks to start; empty for a step whose turn comes soon.
+    std::vector<int> pending;
+    // The place in the order; lower goes first.
+    int rank = 0;
+    base::time_point due;
+
+    // Lower goes first. The key breaks ties, so that the order is total.
+    friend bool operator<(const candidate& a, const candidate& b)
+    {
+        return std::tie(a.rank, a.due, a.key) < std::tie(b.rank, b.due, b.key);
+    }
+};
+
+} // namespace coltsfootrack::fleet
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet_jobs.cpp
@@ -0,0 +1,393 @@
+// Jobs of a fleet: adding, cancelling, finishing, and what is stored of them.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::fleet
+{
+namespace
+{
+
+// A job that is late by more than this multiple of its objective is of no use
+// to its caller any more; the platform's pages name the figure.
+constexpr int useless_after = 3;
+
+constexpr std::string_view log_part = "fleet";
+
+base::duration scaled(base::duration span, double factor)
+{
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double>(span) * factor);
+}
+
+} // namespace
+
+job_record* fleet::find_job(const base::job_id& id)
+{
+    const auto found = jobs_.find(id);
+    return found == jobs_.end() ? nullptr : &found->second;
+}
+
+step_record* fleet::find_step(const jobs::step_key& key)
+{
+    job_record* job = find_job(key.job);
+    if (job == nullptr || key.occurrence < 0 || key.step < 0 ||
+        static_cast<std::size_t>(key.occurrence) >= job->occurrences.size())
+    {
+        return nullptr;
+    }
+    auto& steps = job->occurrences[static_cast<std::size_t>(key.occurrence)];
+    return static_cast<std::size_t>(key.step) < steps.size()
+               ? &steps[static_cast<std::size_t>(key.step)]
+               : nullptr;
+}
+
+task_record* fleet::find_task(const jobs::task_key& key)
+{
+    step_record* step = find_step(key.step);
+    if (step == nullptr || key.index < 0 ||
+        static_cast<std::size_t>(key.index) >= step->tasks.size())
+    {
+        return nullptr;
+    }
+    return &step->tasks[static_cast<std::size_t>(key.index)];
+}
+
+const jobs::step_spec& fleet::spec_of(const job_record& job, int step) const
+{
+    return job.submission.spec.steps[static_cast<std::size_t>(step)];
+}
+
+const queue_policy* fleet::queue_of(const job_record& job) const
+{
+    return catalogue_ ? catalogue_->queue(job.submission.queue) : nullptr;
+}
+
+void fleet::set_catalogue(std::shared_ptr<const catalogue> value)
+{
+    catalogue_ = std::move(value);
+    for (auto& [id, job] : jobs_)
+    {
+        set_deadlines(job);
+    }
+}
+
+void fleet::set_deadlines(job_record& job)
+{
+    const queue_policy* queue = queue_of(job);
+    if (queue == nullptr)
+    {
+        return;
+    }
+    const base::duration objective =
+        scaled(jobs::critical_path(job.submission.spec), queue->stretch) +
+        queue->slack;
+    job.due = job.submitted_at + objective;
+    job.late_end = job.submitted_at + useless_after * objective;
+}
+
+void fleet::add_job(const base::job_id& id,
+                    const jobs::job_submission& submission,
+                    const jobs::job_progress& progress, bool inherited,
+                    base::time_point now, wall_time wall)
+{
+    if (jobs_.count(id) != 0)
+    {
+        return;
+    }
+    job_record& job = jobs_[id];
+    job.id = id;
+    job.submission = submission;
+    job.inherited = inherited;
+    job.state = progress.state;
+    job.saved_state = progress.state;
+    // Clocks of VMs differ: a job is never older than the day that a caller
+    // could wait, nor younger than now.
+    const auto age = std::clamp<std::chrono::system_clock::duration>(
+        wall - submission.submitted, std::chrono::seconds(0),
+        std::chrono::hours(24));
+    job.submitted_at = now - age;
+    job.finished_at = now;
+    set_deadlines(job);
+    note_share(job);
+    if (job.final_state())
+    {
+        job.begun = true;
+        return;
+    }
+    job.occurrences.resize(
+        static_cast<std::size_t>(submission.spec.occurrences()));
+    job.begun = !progress.steps.empty();
+    for (const auto& [key, stored] : progress.steps)
+    {
+        const auto& [occurrence, number] = key;
+        if (occurrence < 0 || occurrence >= submission.spec.occurrences())
+        {
+            continue;
+        }
+        open_occurrence(job, occurrence);
+        step_record* step = find_step({id, occurrence, number});
+        if (step == nullptr)
+        {
+            continue;
+        }
+        for (std::size_t i = 0;
+             i < std::min(step->tasks.size(), stored.done.size()); ++i)
+        {
+            step->tasks[i].done = stored.done[i];
+            step->done += stored.done[i] ? 1 : 0;
+        }
+        for (const auto& [index, count] : stored.failures)
+        {
+            task_record* task = find_task({{id, occurrence, number}, index});
+            if (task != nullptr)
+            {
+                task->failures = count;
+                task->last_run = std::max(task->last_run, count.last_run);
+            }
+        }
+    }
+    open_occurrences(job, wall);
+    const auto cancelled = early_cancels_.find(id);
+    if (cancelled != early_cancels_.end())
+    {
+        early_cancels_.erase(cancelled);
+        cancel_job(id, now);
+    }
+    adopt_strays(id, now);
+    check_completed(job, now);
+}
+
+void fleet::note_share(job_record& job)
+{
+    const team_policy* team =
+        catalogue_ ? catalogue_->team(job.submission.team) : nullptr;
+    if (team != nullptr && team->weight > 0)
+    {
+        job.over_share =
+            !shares_[team->team].take(team->weight, job.submitted_at);
+    }
+}
+
+void fleet::open_occurrence(job_record& job, int occurrence)
+{
+    auto& steps = job.occurrences[static_cast<std::size_t>(occurrence)];
+    if (!steps.empty())
+    {
+        return;
+    }
+    steps.resize(job.submission.spec.steps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i)
+    {
+        steps[i].tasks.resize(
+            static_cast<std::size_t>(job.submission.spec.steps[i].tasks));
+    }
+}
+
+void fleet::open_occurrences(job_record& job, wall_time wall)
+{
+    const jobs::job_spec& spec = job.submission.spec;
+    for (int i = 0; i < spec.occurrences(); ++i)
+    {
+        if (spec.timed() && wall < spec.first_due + i * spec.interval)
+        {
+            return;
+        }
+        open_occurrence(job, i);
+    }
+}
+
+void fleet::cancel_job(const base::job_id& id, base::time_point now)
+{
+    job_record* job = find_job(id);
+    if (job == nullptr)
+    {
+        early_cancels_[id] = now;
+        return;
+    }
+    if (job->final_state())
+    {
+        return;
+    }
+    job->cancelled = true;
+    finish_job(*job, jobs::job_state::cancelled, now);
+}
+
+void fleet::mark_changed(job_record& job)
+{
+    ++job.change;
+    dirty_[job.id] = true;
+}
+
+void fleet::finish_job(job_record& job, jobs::job_state state,
+                       base::time_point now)
+{
+    job.state = state;
+    job.finished_at = now;
+    mark_changed(job);
+    base::log(base::log_level::info, log_part,
+              "Job finished. job={} state={} age_ms={}", job.id.text(),
+              jobs::name_of(state),
+              std::chrono::duration_cast<std::chrono::milliseconds>(
+                  now - job.submitted_at)
+                  .count());
+    // Whatever still runs is of no use: a cancelled or failed job, or the
+    // other members of a gang of which one has reported the end.
+    if (state == jobs::job_state::completed)
+    {
+        return;
+    }
+    for (auto& [id, worker] : workers_)
+    {
+        for (auto run = worker.runs.lower_bound({{job.id, 0, 0}, 0});
+             run != worker.runs.end() && run->first.step.job == job.id; ++run)
+        {
+            request_stop(run->second);
+        }
+    }
+}
+
+void fleet::check_completed(job_record& job, base::time_point now)
+{
+    if (job.final_state())
+    {
+        return;
+    }
+    for (const auto& steps : job.occurrences)
+    {
+        if (steps.empty())
+        {
+            return;
+        }
+        for (std::size_t i = 0; i < steps.size(); ++i)
+        {
+            const auto& spec = job.submission.spec.steps[i];
+            if (spec.standing ||
+                steps[i].done < static_cast<int>(steps[i].tasks.size()))
+            {
+                return;
+            }
+        }
+    }
+    finish_job(job, jobs::job_state::completed, now);
+}
+
+std::string fleet::progress_text(const job_record& job) const
+{
+    jobs::job_progress value;
+    value.state = job.state == jobs::job_state::queued && job.begun
+                      ? jobs::job_state::running
+                      : job.state;
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+    {
+        const auto& steps = job.occurrences[k];
+        for (std::size_t s = 0; s < steps.size(); ++s)
+        {
+            jobs::step_progress stored;
+            for (std::size_t i = 0; i < steps[s].tasks.size(); ++i)
+            {
+                const task_record& task = steps[s].tasks[i];
+                if (task.failures.runs > 0)
+                {
+                    stored.failures[static_cast<int>(i)] = task.failures;
+                }
+                stored.done.push_back(task.done);
+            }
+            if (steps[s].done > 0 || !stored.failures.empty())
+            {
+                value.steps[{static_cast<int>(k), static_cast<int>(s)}] =
+                    std::move(stored);
+            }
+        }
+    }
+    return jobs::encode(value);
+}
+
+void fleet::on_saved(const base::job_id& id, std::uint64_t change,
+                     base::time_point now)
+{
+    job_record* job = find_job(id);
+    if (job == nullptr)
+    {
+        return;
+    }
+    job->change_saved = std::max(job->change_saved, change);
+    if (job->change_saved == job->change)
+    {
+        job->saved_state = job->state;
+        if (job->final_state())
+        {
+            job->finished_at = now;
+            // What is left is only asked for its state.
+            job->occurrences.clear();
+            job->occurrences.shrink_to_fit();
+            job->submission.spec = jobs::job_spec();
+        }
+    }
+    for (auto& [worker_id, worker] : workers_)
+    {
+        advance_acknowledged(worker);
+    }
+}
+
+void fleet::on_save_failed(const base::job_id& id)
+{
+    job_record* job = find_job(id);
+    if (job != nullptr && job->change_saved < job->change)
+    {
+        job->change_ordered = job->change_saved;
+        dirty_[id] = true;
+    }
+}
+
+void fleet::order_saves(std::vector<order>& orders)
+{
+    for (const auto& [id, ignored] : dirty_)
+    {
+        job_record* job = find_job(id);
+        if (job != nullptr && job->change_ordered < job->change)
+        {
+            job->change_ordered = job->change;
+            orders.push_back(save_order{id, job->change, progress_text(*job)});
+        }
+    }
+    dirty_.clear();
+}
+
+std::optional<jobs::job_state> fleet::state_of(const base::job_id& id) const
+{
+    const auto found = jobs_.find(id);
+    if (found == jobs_.end())
+    {
+        return std::nullopt;
+    }
+    const job_record& job = found->second;
+    if (jobs::is_final(job.saved_state))
+    {
+        return job.saved_state;
+    }
+    return job.begun ? jobs::job_state::running : jobs::job_state::queued;
+}
+
+std::map<std::string, int> fleet::waiting_counts() const
+{
+    std::map<std::string, int> counts;
+    for (const auto& [id, job] : jobs_)
+    {
+        if (!job.begun && !job.final_state())
+        {
+            ++counts[job.submission.queue];
+        }
+    }
+    return counts;
+}
+
+base::resources fleet::usage_of(const base::team_id& team) const
+{
+    const auto found = usage_.find(team);
+    return found == usage_.end() ? base::resources() : found->second;
+}
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/src/fleet/fleet_tickets.cpp
@@ -0,0 +1,202 @@
+// Which placement tickets are asked for.
+//
+// A request takes the deciding service a fixed time and a little per worker,
+// and each calling daemon has one request at a time. So steps that can start
+// now come first, then the steps at the head of the queue, which keep their
+// tickets fresh so that room is used at once when it appears. The workers that
+// may run a step do not change during a life of the worker, so a renewal names
+// only those known to be good.
+
+#include "candidate.hpp"
+
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::fleet
+{
+namespace
+{
+
+// A request without an answer is given up after its expected time and this.
+constexpr std::chrono::milliseconds answer_slack{1500};
+
+} // namespace
+
+void fleet::on_tickets(const jobs::step_key& key,
+                       const std::vector<base::worker_id>& asked,
+                       const std::optional<std::vector<ticket_grant>>& grants,
+                       base::time_point valid_until)
+{
+    step_record* step = find_step(key);
+    if (step == nullptr)
+    {
+        return;
+    }
+    step->asking = false;
+    if (!grants)
+    {
+        return;
+    }
+    const auto life_of = [this](const base::worker_id& id)
+    {
+        const auto found = workers_.find(id);
+        return found == workers_.end() ? 0 : found->second.life;
+    };
+    for (const base::worker_id& id : asked)
+    {
+        step->refused[id] = life_of(id);
+    }
+    for (const ticket_grant& grant : *grants)
+    {
+        step->refused.erase(grant.worker);
+        step->tickets[grant.worker] = {life_of(grant.worker), grant.ticket,
+                                       valid_until};
+    }
+    for (const auto& [id, life] : step->refused)
+    {
+        step->tickets.erase(id);
+    }
+}
+
+std::vector<base::worker_id> fleet::workers_to_ask(const candidate& next,
+                                                   base::time_point now) const
+{
+    struct option
+    {
+        const worker_record* worker;
+        bool good;
+        bool room;
+    };
+    std::vector<option> options;
+    bool any_room = false;
+    bool good_room = false;
+    bool any_good = false;
+    for (const auto& [id, worker] : workers_)
+    {
+        if (!usable(worker, next, now) ||
+            !next.spec->need.fits_in(worker.listing.capacity))
+        {
+            continue;
+        }
+        const auto refused = next.record->refused.find(id);
+        if (refused != next.record->refused.end() &&
+            refused->second == worker.life)
+        {
+            continue;
+        }
+        const auto held = next.record->tickets.find(id);
+        const bool good = held != next.record->tickets.end() &&
+                          held->second.life == worker.life;
+        const bool room = has_room(worker, next);
+        options.push_back({&worker, good, room});
+        any_room = any_room || room;
+        any_good = any_good || good;
+        good_room = good_room || (good && room);
+    }
+    std::stable_sort(options.begin(), options.end(),
+                     [](const option& a, const option& b)
+                     {
+                         const auto free = [](const option& o)
+                         {
+                             const base::resources left =
+                                 o.worker->listing.capacity - o.worker->used;
+                             return std::make_tuple(!o.room, -left.accelerators,
+                                                    -left.cpu_milli);
+                         };
+                         return free(a) < free(b);
+                     });
+    std::vector<base::worker_id> named;
+    const bool renew = good_room || (any_good && !any_room);
+    const std::size_t limit =
+        renew ? options_.renewed_workers : options_.ticket_workers;
+    for (const option& entry : options)
+    {
+        if (named.size() >= limit)
+        {
+            break;
+        }
+        if (!renew || entry.good)
+        {
+            named.push_back(entry.worker->listing.worker);
+        }
+    }
+    return named;
+}
+
+void fleet::order_tickets(std::vector<candidate>& waiting, base::time_point now,
+                          ticket_slots slots, std::vector<order>& orders)
+{
+    std::map<base::service_id, std::size_t> heads;
+    for (const candidate& next : waiting)
+    {
+        if (slots.total == 0)
+        {
+            return;
+        }
+        if (!next.queue->tickets || !within_limit(next, 1) ||
+            (next.record->asking &&
+             now - next.record->asked_at <
+                 next.queue->tickets->decide_time + answer_slack))
+        {
+            continue;
+        }
+        if (next.spec->gang && !next.pending.empty() &&
+            !within_limit(next, static_cast<int>(next.pending.size())))
+        {
+            continue;
+        }
+        bool fresh = false;
+        bool room = false;
+        for (const auto& [id, worker] : workers_)
+        {
+            if (!usable(worker, next, now))
+            {
+                continue;
+            }
+            const bool ticket = has_ticket(worker, next, now);
+            const bool fits = has_room(worker, next);
+            const auto refused = next.record->refused.find(id);
+            const bool may = refused == next.record->refused.end() ||
+                             refused->second != worker.life;
+            fresh = fresh || ticket;
+            room = room || (may && fits && !ticket);
+        }
+        const bool ready = !next.pending.empty();
+        std::size_t& head = heads[next.queue->service];
+        const bool at_head = head < options_.ready_steps;
+        head += ready ? 1 : 0;
+        // A step that waits for room asks again when its tickets have run out;
+        // one that could start on other workers asks for those.
+        const bool wanted = ready ? (room || (at_head && !fresh)) : !fresh;
+        if (!wanted)
+        {
+            continue;
+        }
+        std::vector<base::worker_id> named = workers_to_ask(next, now);
+        if (named.empty())
+        {
+            continue;
+        }
+        const auto& policy = *next.queue->tickets;
+        const auto expected =
+            policy.decide_time +
+            static_cast<double>(named.size()) * policy.each_time;
+        const bool long_request = expected > slots.long_request;
+        if (long_request && slots.long_requests == 0)
+        {
+            continue;
+        }
+        slots.long_requests -= long_request ? 1 : 0;
+        --slots.total;
+        slots.long_requests = std::min(slots.long_requests, slots.total);
+        next.record->asking = true;
+        next.record->asked_at = now;
+        orders.push_back(
+            ticket_order{next.key, std::move(named),
+                         std::chrono::ceil<std::chrono::milliseconds>(expected),
+                         policy.valid_for});
+    }
+}
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/src/jobs/job_spec.cpp
@@ -0,0 +1,91 @@
+// Checks of a job and its critical path.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/jobs/job_spec.hpp>
+
+#include <algorithm>
+#include <fmt/core.h>
+
+namespace coltsfootrack::jobs
+{
+namespace
+{
+
+absl::Status invalid(const std::string& detail)
+{
+    return base::make_error(base::error_kind::invalid_request, detail);
+}
+
+absl::Status check_step(const step_spec& step, int number)
+{
+    if (step.tasks < 1 || step.tasks > max_tasks_per_step)
+    {
+        return invalid(fmt::format("step {}: the number of tasks must be 1 to "
+                                   "{}",
+                                   number, max_tasks_per_step));
+    }
+    if (!step.need.is_valid() || step.estimate.count() < 0 ||
+        step.latency_target.count() < 0 || step.max_per_worker < 0 ||
+        step.disruption_budget < 0)
+    {
+        return invalid(fmt::format("step {}: an amount is below zero", number));
+    }
+    const bool ordered = std::all_of(
+        step.after.begin(), step.after.end(),
+        [&](int earlier) { return earlier >= 0 && earlier < number; });
+    if (!ordered)
+    {
+        return invalid(
+            fmt::format("step {}: may only wait for earlier steps", number));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status check(const job_spec& spec)
+{
+    if (spec.payload.size() > max_payload_bytes)
+    {
+        return invalid(fmt::format("the payload is longer than {} bytes",
+                                   max_payload_bytes));
+    }
+    if (spec.steps.empty() || spec.steps.size() > max_steps)
+    {
+        return invalid(fmt::format("a job has 1 to {} steps", max_steps));
+    }
+    if (spec.repeats < 0 || spec.repeats > max_repeats ||
+        spec.interval.count() < 0)
+    {
+        return invalid(
+            fmt::format("a job repeats at most {} times", max_repeats));
+    }
+    for (std::size_t i = 0; i < spec.steps.size(); ++i)
+    {
+        absl::Status status = check_step(spec.steps[i], static_cast<int>(i));
+        if (!status.ok())
+        {
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+std::chrono::milliseconds critical_path(const job_spec& spec)
+{
+    std::vector<std::chrono::milliseconds> ends;
+    std::chrono::milliseconds longest{0};
+    for (const step_spec& step : spec.steps)
+    {
+        std::chrono::milliseconds start{0};
+        for (const int earlier : step.after)
+        {
+            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+        }
+        ends.push_back(start + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace coltsfootrack::jobs
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -182,6 +182,143 @@
     return fields.result(std::move(value));
 }
 
+// Offsets may share a table or a string, so that a small buffer could describe
+// a very large list. What encode writes takes each text and at least this much
+// more for an entry.
+constexpr std::size_t min_entry_bytes = 8;
+
+// Counts what the entries of a list describe, against the size of the buffer.
+class size_guard
+{
+public:
+    explicit size_guard(std::size_t size)
+        : size_(size)
+    {
+    }
+
+    bool add(std::size_t text)
+    {
+        described_ += min_entry_bytes + text;
+        return described_ <= size_;
+    }
+
+private:
+    std::size_t size_;
+    std::size_t described_ = 0;
+};
+
+std::string text_of(const flatbuffers::String* text)
+{
+    return text != nullptr ? text->str() : std::string();
+}
+
+absl::StatusOr<message> read(const fb::CellStatus& m, std::size_t size)
+{
+    field_reader fields;
+    cell_status value;
+    value.epoch = m.epoch();
+    value.leader = base::daemon_id(text_of(m.leader()));
+    value.leading = m.leading();
+    value.stopping = m.stopping();
+    value.store_age = fields.age(m.store_age_ms());
+    value.leader_age = fields.age(m.leader_age_ms());
+    value.store_delay = std::chrono::milliseconds(m.store_delay_ms());
+    value.catalogue_version = m.catalogue_version();
+    size_guard guard(size);
+    for (std::size_t i = 0; m.queues() != nullptr && i < m.queues()->size();
+         ++i)
+    {
+        const auto* entry =
+            m.queues()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        if (!guard.add(entry->queue()->size()))
+        {
+            return protocol_error("queue entries overlap");
+        }
+        value.queues.push_back({entry->queue()->str(), entry->waiting()});
+    }
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::CatalogueCopy& m)
+{
+    return message(catalogue_copy{m.version(), m.document()->str()});
+}
+
+absl::StatusOr<message> read(const fb::JobCopy& m)
+{
+    field_reader fields;
+    job_copy value;
+    value.job = fields.id<base::job_id>(m.job(), "job");
+    value.row = m.row()->str();
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::CancelNotice& m)
+{
+    field_reader fields;
+    cancel_notice value;
+    value.job = fields.id<base::job_id>(m.job(), "job");
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::StateQuery& m)
+{
+    field_reader fields;
+    state_query value;
+    value.nonce = m.nonce();
+    value.job = fields.id<base::job_id>(m.job(), "job");
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::StateAnswer& m)
+{
+    return message(state_answer{m.nonce(), text_of(m.state())});
+}
+
+absl::StatusOr<message> read(const fb::TicketQuery& m, std::size_t size)
+{
+    field_reader fields;
+    ticket_query value;
+    value.nonce = m.nonce();
+    value.job = fields.id<base::job_id>(m.job(), "job");
+    value.occurrence = m.occurrence();
+    value.step = m.step();
+    value.limit = std::chrono::milliseconds(m.limit_ms());
+    size_guard guard(size);
+    for (const flatbuffers::String* worker : *m.workers())
+    {
+        if (!guard.add(worker->size()))
+        {
+            return protocol_error("worker entries overlap");
+        }
+        value.workers.push_back(fields.id<base::worker_id>(worker, "worker"));
+    }
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::TicketAnswer& m, std::size_t size)
+{
+    field_reader fields;
+    ticket_answer value;
+    value.nonce = m.nonce();
+    value.answered = m.answered();
+    size_guard guard(size);
+    for (std::size_t i = 0; m.grants() != nullptr && i < m.grants()->size();
+         ++i)
+    {
+        const auto* entry =
+            m.grants()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        if (!guard.add(entry->worker()->size() + entry->ticket()->size()))
+        {
+            return protocol_error("ticket entries overlap");
+        }
+        value.grants.push_back(
+            {fields.id<base::worker_id>(entry->worker(), "worker"),
+             entry->ticket()->str()});
+    }
+    return fields.result(std::move(value));
+}
+
 } // namespace
 
 absl::StatusOr<message> decode(std::string_view bytes)
@@ -220,6 +357,22 @@
         return read(*peer.body_as_JobNotice());
     case fb::Body::UsageReport:
         return read(*peer.body_as_UsageReport(), bytes.size());
+    case fb::Body::CellStatus:
+        return read(*peer.body_as_CellStatus(), bytes.size());
+    case fb::Body::CatalogueCopy:
+        return read(*peer.body_as_CatalogueCopy());
+    case fb::Body::JobCopy:
+        return read(*peer.body_as_JobCopy());
+    case fb::Body::CancelNotice:
+        return read(*peer.body_as_CancelNotice());
+    case fb::Body::StateQuery:
+        return read(*peer.body_as_StateQuery());
+    case fb::Body::StateAnswer:
+        return read(*peer.body_as_StateAnswer());
+    case fb::Body::TicketQuery:
+        return read(*peer.body_as_TicketQuery(), bytes.size());
+    case fb::Body::TicketAnswer:
+        return read(*peer.body_as_TicketAnswer(), bytes.size());
     default:
         return protocol_error("unknown message type");
     }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -128,6 +128,94 @@
         return {fb::Body::UsageReport,
                 fb::CreateUsageReport(builder, zone, m.epoch, list).Union()};
     }
+
+    encoded_body operator()(const cell_status& m) const
+    {
+        const auto leader = text(builder, m.leader);
+        std::vector<Offset<fb::QueueCount>> queues;
+        queues.reserve(m.queues.size());
+        for (const queue_count& count : m.queues)
+        {
+            const auto name = builder.CreateString(count.queue);
+            queues.push_back(
+                fb::CreateQueueCount(builder, name, count.waiting));
+        }
+        const auto list = builder.CreateVector(queues);
+        return {fb::Body::CellStatus,
+                fb::CreateCellStatus(
+                    builder, m.epoch, leader, m.leading, m.stopping,
+                    age_ms(m.store_age), age_ms(m.leader_age),
+                    lease_ms(m.store_delay), m.catalogue_version, list)
+                    .Union()};
+    }
+
+    encoded_body operator()(const catalogue_copy& m) const
+    {
+        const auto document = builder.CreateString(m.document);
+        return {fb::Body::CatalogueCopy,
+                fb::CreateCatalogueCopy(builder, m.version, document).Union()};
+    }
+
+    encoded_body operator()(const job_copy& m) const
+    {
+        const auto job = text(builder, m.job);
+        const auto row = builder.CreateString(m.row);
+        return {fb::Body::JobCopy,
+                fb::CreateJobCopy(builder, job, row).Union()};
+    }
+
+    encoded_body operator()(const cancel_notice& m) const
+    {
+        const auto job = text(builder, m.job);
+        return {fb::Body::CancelNotice,
+                fb::CreateCancelNotice(builder, job).Union()};
+    }
+
+    encoded_body operator()(const state_query& m) const
+    {
+        const auto job = text(builder, m.job);
+        return {fb::Body::StateQuery,
+                fb::CreateStateQuery(builder, m.nonce, job).Union()};
+    }
+
+    encoded_body operator()(const state_answer& m) const
+    {
+        const auto state = builder.CreateString(m.state);
+        return {fb::Body::StateAnswer,
+                fb::CreateStateAnswer(builder, m.nonce, state).Union()};
+    }
+
+    encoded_body operator()(const ticket_query& m) const
+    {
+        const auto job = text(builder, m.job);
+        std::vector<Offset<flatbuffers::String>> workers;
+        workers.reserve(m.workers.size());
+        for (const base::worker_id& worker : m.workers)
+        {
+            workers.push_back(text(builder, worker));
+        }
+        const auto list = builder.CreateVector(workers);
+        return {fb::Body::TicketQuery,
+                fb::CreateTicketQuery(builder, m.nonce, job, m.occurrence,
+                                      m.step, lease_ms(m.limit), list)
+                    .Union()};
+    }
+
+    encoded_body operator()(const ticket_answer& m) const
+    {
+        std::vector<Offset<fb::TicketGrant>> grants;
+        grants.reserve(m.grants.size());
+        for (const granted_ticket& grant : m.grants)
+        {
+            const auto worker = text(builder, grant.worker);
+            const auto ticket = builder.CreateString(grant.ticket);
+            grants.push_back(fb::CreateTicketGrant(builder, worker, ticket));
+        }
+        const auto list = builder.CreateVector(grants);
+        return {
+            fb::Body::TicketAnswer,
+            fb::CreateTicketAnswer(builder, m.nonce, m.answered, list).Union()};
+    }
 };
 
 } // namespace
--- a/src/wire/message_type.cpp
+++ b/src/wire/message_type.cpp
@@ -12,9 +12,11 @@
 {
 
 constexpr std::array<std::string_view, message_type_count> names = {
-    "hello",          "heartbeat",       "promise_request",
-    "promise_answer", "freshness_query", "freshness_answer",
-    "config_notice",  "job_notice",      "usage_report"};
+    "hello",           "heartbeat",        "promise_request", "promise_answer",
+    "freshness_query", "freshness_answer", "config_notice",   "job_notice",
+    "usage_report",    "cell_status",      "catalogue_copy",  "job_copy",
+    "cancel_notice",   "state_query",      "state_answer",    "ticket_query",
+    "ticket_answer"};
 
 static_assert(std::variant_size_v<message> == message_type_count);
 static_assert(std::is_same_v<std::variant_alternative_t<
@@ -24,6 +26,10 @@
     std::is_same_v<std::variant_alternative_t<
                        std::size_t(message_type::usage_report), message>,
                    usage_report>);
+static_assert(
+    std::is_same_v<std::variant_alternative_t<
+                       std::size_t(message_type::ticket_answer), message>,
+                   ticket_answer>);
 
 } // namespace
 
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -43,11 +43,64 @@
     return std::chrono::milliseconds(any_amount());
 }
 
+inline std::chrono::milliseconds any_span()
+{
+    return std::chrono::milliseconds(*rc::gen::arbitrary<std::uint32_t>());
+}
+
+inline cell_status any_cell_status()
+{
+    cell_status value;
+    value.epoch = any_number();
+    value.leader = any_id<base::daemon_id>();
+    value.leading = *rc::gen::arbitrary<bool>();
+    value.stopping = *rc::gen::arbitrary<bool>();
+    value.store_age = any_age();
+    value.leader_age = any_age();
+    value.store_delay = any_span();
+    value.catalogue_version = any_number();
+    const int queues = *rc::gen::inRange(0, 10);
+    for (int i = 0; i < queues; ++i)
+    {
+        value.queues.push_back({*rc::gen::string<std::string>(),
+                                *rc::gen::arbitrary<std::uint32_t>()});
+    }
+    return value;
+}
+
+inline ticket_query any_ticket_query()
+{
+    ticket_query value{any_number(),
+                       any_id<base::job_id>(),
+                       *rc::gen::arbitrary<std::uint32_t>(),
+                       *rc::gen::arbitrary<std::uint32_t>(),
+                       any_span(),
+                       {}};
+    const int workers = *rc::gen::inRange(0, 20);
+    for (int i = 0; i < workers; ++i)
+    {
+        value.workers.push_back(any_id<base::worker_id>());
+    }
+    return value;
+}
+
+inline ticket_answer any_ticket_answer()
+{
+    ticket_answer value{any_number(), *rc::gen::arbitrary<bool>(), {}};
+    const int grants = *rc::gen::inRange(0, 20);
+    for (int i = 0; i < grants; ++i)
+    {
+        value.grants.push_back(
+            {any_id<base::worker_id>(), *rc::gen::string<std::string>()});
+    }
+    return value;
+}
+
 // Any valid message; all types are equally likely.
 inline message any_message()
 {
     const bool flag = *rc::gen::arbitrary<bool>();
-    switch (*rc::gen::inRange(0, 9))
+    switch (*rc::gen::inRange(0, 17))
     {
     case 0:
         return hello{any_id<base::daemon_id>(), any_number(),
@@ -73,6 +126,23 @@
         return config_notice{any_number()};
     case 7:
         return job_notice{any_id<base::zone_id>(), any_id<base::job_id>()};
+    case 8:
+        return any_cell_status();
+    case 9:
+        return catalogue_copy{any_number(), *rc::gen::string<std::string>()};
+    case 10:
+        return job_copy{any_id<base::job_id>(),
+                        *rc::gen::string<std::string>()};
+    case 11:
+        return cancel_notice{any_id<base::job_id>()};
+    case 12:
+        return state_query{any_number(), any_id<base::job_id>()};
+    case 13:
+        return state_answer{any_number(), *rc::gen::string<std::string>()};
+    case 14:
+        return any_ticket_query();
+    case 15:
+        return any_ticket_answer();
     default:
         break;
     }
