--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -5,7 +5,7 @@
     coltsfootrack PkgConfig::CPPUNIT rapidcheck)
 
 foreach(part base config coordination placement routing wire http store
-        daemon cli)
+        daemon cli jobs fleet cell platform)
     file(GLOB sources CONFIGURE_DEPENDS test/${part}/*.cpp)
     if(sources)
         add_executable(test-${part} ${sources})
@@ -14,6 +14,12 @@
         if(part STREQUAL daemon)
             target_link_libraries(test-daemon PRIVATE coltsfootrack-daemon)
         endif()
+        if(part STREQUAL cell)
+            target_link_libraries(test-cell PRIVATE coltsfootrack-cell)
+        endif()
+        if(part STREQUAL platform)
+            target_link_libraries(test-platform PRIVATE coltsfootrack-platform)
+        endif()
         if(part STREQUAL cli)
             # The tool's sources belong to no library.
             set(tool ${COLTSFOOTRACK_CLI_SOURCES})
--- /dev/null
+++ b/test/cell/row_committer_test.cpp
@@ -0,0 +1,305 @@
+// Tests of the group commit of rows: what was reported as stored stays stored,
+// whatever becomes of the store's answers and of the leader.
+
+#include "naive_store.hpp"
+
+#include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/cell/row_committer.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+const base::time_point start{};
+const row_id progress_row{"progress", "p0", "a"};
+const row_id fence_row{"cell", "p0", "fence"};
+
+row_committer::callback record(std::vector<write_status>& seen)
+{
+    return [&seen](write_status status) { seen.push_back(status); };
+}
+
+transaction_result answer(transaction_status status)
+{
+    transaction_result result;
+    result.status = status;
+    return result;
+}
+
+} // namespace
+
+class row_committer_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(row_committer_test);
+    CPPUNIT_TEST(insert_of_new_row_is_stored);
+    CPPUNIT_TEST(insert_of_known_row_reports_exists);
+    CPPUNIT_TEST(insert_whose_answer_was_lost_is_stored_once);
+    CPPUNIT_TEST(insert_refused_by_store_is_refused_at_once);
+    CPPUNIT_TEST(insert_without_answer_until_deadline_is_unknown);
+    CPPUNIT_TEST(insert_beyond_limit_is_refused);
+    CPPUNIT_TEST(update_after_lost_answer_keeps_newest_value);
+    CPPUNIT_TEST(update_dropped_in_flight_is_not_sent_again);
+    CPPUNIT_TEST(update_under_lost_fence_is_fenced);
+    CPPUNIT_TEST(random_faults_never_undo_what_was_stored);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void insert_of_new_row_is_stored()
+    {
+        row_committer committer;
+        naive_store store;
+        std::vector<write_status> seen;
+        committer.insert(progress_row, "1", start + milliseconds(100),
+                         record(seen));
+        const auto group = committer.next(start);
+        CPPUNIT_ASSERT(group);
+        CPPUNIT_ASSERT(!committer.next(start));
+        committer.on_result(store.apply(*group), start);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::stored});
+        CPPUNIT_ASSERT(store.value(progress_row) == "1");
+    }
+
+    void insert_of_known_row_reports_exists()
+    {
+        row_committer committer;
+        naive_store store;
+        store.put(progress_row, "other");
+        std::vector<write_status> seen;
+        committer.insert(progress_row, "1", start + milliseconds(100),
+                         record(seen));
+        committer.on_result(store.apply(*committer.next(start)), start);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::exists});
+        CPPUNIT_ASSERT(store.value(progress_row) == "other");
+    }
+
+    // Guards against a job that is refused although its row was written.
+    void insert_whose_answer_was_lost_is_stored_once()
+    {
+        row_committer committer;
+        naive_store store;
+        std::vector<write_status> seen;
+        committer.insert(progress_row, "1", start + milliseconds(5000),
+                         record(seen));
+        store.apply(*committer.next(start));
+        committer.on_result(answer(transaction_status::unknown), start);
+        CPPUNIT_ASSERT(seen.empty());
+        const auto later = start + milliseconds(1000);
+        committer.on_result(store.apply(*committer.next(later)), later);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::stored});
+    }
+
+    void insert_refused_by_store_is_refused_at_once()
+    {
+        row_committer committer;
+        std::vector<write_status> seen;
+        committer.insert(progress_row, "1", start + milliseconds(5000),
+                         record(seen));
+        CPPUNIT_ASSERT(committer.next(start));
+        committer.on_result(answer(transaction_status::refused), start);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::refused});
+        CPPUNIT_ASSERT(committer.idle());
+    }
+
+    // Guards against "has not run" for a job that may be written later.
+    void insert_without_answer_until_deadline_is_unknown()
+    {
+        row_committer committer;
+        std::vector<write_status> seen;
+        committer.insert(progress_row, "1", start + milliseconds(1000),
+                         record(seen));
+        CPPUNIT_ASSERT(committer.next(start));
+        committer.on_result(answer(transaction_status::unknown), start);
+        const auto later = start + milliseconds(900);
+        CPPUNIT_ASSERT(committer.next(later));
+        // A refusal of the second attempt says nothing about the first.
+        committer.on_result(answer(transaction_status::refused), later);
+        CPPUNIT_ASSERT(seen.empty());
+        CPPUNIT_ASSERT(!committer.next(start + milliseconds(2000)));
+        CPPUNIT_ASSERT(seen == std::vector{write_status::unknown});
+    }
+
+    void insert_beyond_limit_is_refused()
+    {
+        row_committer committer;
+        std::vector<write_status> seen;
+        for (std::size_t i = 0; i <= row_committer::max_waiting; ++i)
+        {
+            committer.insert({"jobs", "p0", std::to_string(i)}, "1",
+                             start + milliseconds(1000), record(seen));
+        }
+        CPPUNIT_ASSERT(seen == std::vector{write_status::refused});
+    }
+
+    // Guards against two values of one row in one transaction after a retry,
+    // of which the older may win.
+    void update_after_lost_answer_keeps_newest_value()
+    {
+        row_committer committer;
+        naive_store store;
+        std::vector<write_status> seen;
+        committer.update(progress_row, "1", record(seen));
+        CPPUNIT_ASSERT(committer.next(start));
+        committer.update(progress_row, "2", record(seen));
+        committer.on_result(answer(transaction_status::unknown), start);
+        const auto later = start + milliseconds(1000);
+        const auto group = committer.next(later);
+        CPPUNIT_ASSERT(group);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group->writes.size());
+        committer.on_result(store.apply(*group), later);
+        CPPUNIT_ASSERT(store.value(progress_row) == "2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.size());
+    }
+
+    // Guards against a former leader that writes its view over the progress
+    // of its successor, without the fence that it has lost.
+    void update_dropped_in_flight_is_not_sent_again()
+    {
+        for (const auto status :
+             {transaction_status::conflict, transaction_status::refused,
+              transaction_status::unknown})
+        {
+            row_committer committer;
+            std::vector<write_status> seen;
+            committer.update(progress_row, "1", record(seen));
+            CPPUNIT_ASSERT(committer.next(start));
+            committer.drop_updates();
+            transaction_result result = answer(status);
+            result.current.push_back({progress_row, "newer", 7});
+            committer.on_result(result, start);
+            CPPUNIT_ASSERT(!committer.next(start + milliseconds(5000)));
+            CPPUNIT_ASSERT(seen.empty());
+        }
+    }
+
+    void update_under_lost_fence_is_fenced()
+    {
+        row_committer committer;
+        naive_store store;
+        const std::uint64_t version = store.put(fence_row, "1");
+        committer.set_fence(row_condition{fence_row, version});
+        std::vector<write_status> seen;
+        committer.update(progress_row, "1", record(seen));
+        store.put(fence_row, "2");
+        committer.on_result(store.apply(*committer.next(start)), start);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::fenced});
+        CPPUNIT_ASSERT(!store.value(progress_row));
+    }
+
+    // Leaders follow one another, each on the state that it reads, while the
+    // store refuses, loses answers and applies transactions late. The value
+    // of a row counts up, so a lower one than was reported is a loss.
+    void random_faults_never_undo_what_was_stored()
+    {
+        for (std::uint64_t seed = 1; seed <= 300; ++seed)
+        {
+            run_random(seed);
+        }
+    }
+
+private:
+    struct leader
+    {
+        row_committer committer;
+        int value = 0;
+        std::optional<transaction> in_flight;
+    };
+
+    static void run_random(std::uint64_t seed)
+    {
+        const base::random_source random = base::seeded_random(seed);
+        const auto chance = [&](std::uint64_t percent)
+        { return random() % 100 < percent; };
+        naive_store store;
+        std::vector<std::unique_ptr<leader>> leaders;
+        std::vector<transaction> late;
+        base::time_point now = start;
+        int reported = 0;
+        for (int turn = 0; turn < 400; ++turn)
+        {
+            now += milliseconds(40);
+            if (leaders.empty() || chance(4))
+            {
+                if (!leaders.empty() && chance(50))
+                {
+                    leaders.back()->committer.drop_updates();
+                }
+                auto next = std::make_unique<leader>();
+                const std::uint64_t fence =
+                    store.put(fence_row, std::to_string(turn));
+                next->committer.set_fence(row_condition{fence_row, fence});
+                next->committer.set_version(progress_row,
+                                            store.version(progress_row));
+                const auto read = store.value(progress_row);
+                next->value = read ? std::stoi(*read) : 0;
+                CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                       next->value >= reported);
+                leaders.push_back(std::move(next));
+            }
+            for (const auto& each : leaders)
+            {
+                if (chance(60))
+                {
+                    const int value = ++each->value;
+                    each->committer.update(
+                        progress_row, std::to_string(value),
+                        [&reported, value](write_status status)
+                        {
+                            if (status == write_status::stored)
+                            {
+                                reported = std::max(reported, value);
+                            }
+                        });
+                }
+                if (!each->in_flight)
+                {
+                    each->in_flight = each->committer.next(now);
+                    continue;
+                }
+                const transaction sent = *std::exchange(each->in_flight, {});
+                const std::uint64_t fate = random() % 10;
+                if (fate < 6)
+                {
+                    each->committer.on_result(store.apply(sent), now);
+                }
+                else if (fate == 6)
+                {
+                    each->committer.on_result(
+                        answer(transaction_status::refused), now);
+                }
+                else
+                {
+                    if (fate == 7)
+                    {
+                        store.apply(sent);
+                    }
+                    else if (fate == 8)
+                    {
+                        late.push_back(sent);
+                    }
+                    each->committer.on_result(
+                        answer(transaction_status::unknown), now);
+                }
+            }
+            if (!late.empty() && chance(30))
+            {
+                store.apply(late.front());
+                late.erase(late.begin());
+            }
+            const auto held = store.value(progress_row);
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                   (held ? std::stoi(*held) : 0) >= reported);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(row_committer_test);
+
+} // namespace coltsfootrack::cell
