Keep a former leader from writing progress

An update that was in flight when its leader stepped down went back into the queue after a conflict, a refusal or a lost answer, and was sent again without a fence and under the version that the conflict returned, over the progress of the successor. After a lost answer two values of one row could also share a transaction, where the older one may win.

Change: dropped updates end with their transaction, updates of one row merge on a retry, and an update needs a fence.

Ruled out: the order of fence, progress and job reads in the takeover; the random test passes with two or more leaders once the above holds.

Tests: update_dropped_in_flight_is_not_sent_again, update_after_lost_answer_keeps_newest_value and the random test failed before, and pass.

--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -71,8 +71,9 @@
     void insert(const row_id& row, std::string value, base::time_point deadline,
                 callback done);
 
-    // Writes a row that only this process writes, whatever it held. The value
-    // replaces one that waits, whose callback then comes with this one.
+    // Writes a row that only the holder of the fence writes, whatever it held.
+    // The value replaces one that waits, whose callback then comes with this
+    // one. Without a fence it is refused as fenced.
     void update(const row_id& row, std::string value, callback done);
 
     // The version of a row as read, for the next update of it.
@@ -99,11 +100,15 @@
         bool is_insert = false;
         // An attempt was not answered.
         bool uncertain = false;
+        // An update that was given up while it was in flight. Sent again, it
+        // could write over the progress of a later leader.
+        bool dropped = false;
         base::time_point deadline;
         std::vector<callback> done;
     };
 
     static void finish(entry& ended, write_status status);
+    void wait_again(entry next);
     void retry(std::vector<entry>& batch, base::time_point now, bool uncertain);
     bool settle_conflict(entry& next, const stored_row* current);
 
@@ -111,6 +116,8 @@
     std::map<row_id, std::uint64_t> versions_;
     std::deque<entry> waiting_;
     std::vector<entry> batch_;
+    // The fence that the batch was sent under.
+    std::optional<row_condition> batch_fence_;
     base::time_point not_before_;
 };
 
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -32,6 +32,11 @@
 
 void row_committer::update(const row_id& row, std::string value, callback done)
 {
+    if (!fence_)
+    {
+        done(write_status::fenced);
+        return;
+    }
     for (entry& other : waiting_)
     {
         if (!other.is_insert && other.row == row)
@@ -101,13 +106,36 @@
         fenced = fenced || !first.is_insert;
         batch_.push_back(std::move(first));
     }
-    if (fenced && fence_)
+    batch_fence_ = fenced ? fence_ : std::nullopt;
+    if (fenced)
     {
-        group.conditions.push_back(*fence_);
+        group.conditions.push_back(*batch_fence_);
     }
     return group;
 }
 
+// Puts an entry back to the front of the queue, or into a newer update of the
+// same row: a transaction has one value of a row.
+void row_committer::wait_again(entry next)
+{
+    if (next.dropped)
+    {
+        return;
+    }
+    const auto newer =
+        std::find_if(waiting_.begin(), waiting_.end(),
+                     [&next](const entry& other) {
+                         return !other.is_insert && other.row == next.row;
+                     });
+    if (next.is_insert || newer == waiting_.end())
+    {
+        waiting_.push_front(std::move(next));
+        return;
+    }
+    newer->done.insert(newer->done.begin(), next.done.begin(),
+                       next.done.end());
+}
+
 void row_committer::retry(std::vector<entry>& batch, base::time_point now,
                           bool uncertain)
 {
@@ -122,7 +150,7 @@
             refused.push_back(std::move(*it));
             continue;
         }
-        waiting_.push_front(std::move(*it));
+        wait_again(std::move(*it));
     }
     for (entry& ended : refused)
     {
@@ -163,7 +191,7 @@
     case transaction_status::committed:
         for (entry& stored : batch)
         {
-            if (!stored.is_insert)
+            if (!stored.is_insert && !stored.dropped)
             {
                 versions_[stored.row] = result.version;
             }
@@ -190,15 +218,20 @@
         return found == result.current.end() ? nullptr : &*found;
     };
     bool fence_lost = false;
-    if (fence_)
+    if (batch_fence_)
     {
-        const stored_row* fence = row_now(fence_->row);
-        fence_lost = fence != nullptr && fence->version != fence_->version;
+        const stored_row* fence = row_now(batch_fence_->row);
+        fence_lost =
+            fence != nullptr && fence->version != batch_fence_->version;
     }
     std::vector<entry> again;
     std::vector<entry> lost;
     for (entry& next : batch)
     {
+        if (next.dropped)
+        {
+            continue;
+        }
         if (!next.is_insert && fence_lost)
         {
             lost.push_back(std::move(next));
@@ -210,7 +243,7 @@
     }
     for (auto it = again.rbegin(); it != again.rend(); ++it)
     {
-        waiting_.push_front(std::move(*it));
+        wait_again(std::move(*it));
     }
     for (entry& ended : lost)
     {
@@ -231,6 +264,7 @@
         if (!next.is_insert)
         {
             next.done.clear();
+            next.dropped = true;
         }
     }
     versions_.clear();
--- a/test/cell/row_committer_test.cpp
+++ b/test/cell/row_committer_test.cpp
@@ -9,6 +9,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace coltsfootrack::cell
@@ -48,6 +49,7 @@
     CPPUNIT_TEST(update_after_lost_answer_keeps_newest_value);
     CPPUNIT_TEST(update_dropped_in_flight_is_not_sent_again);
     CPPUNIT_TEST(update_under_lost_fence_is_fenced);
+    CPPUNIT_TEST(update_without_fence_is_fenced);
     CPPUNIT_TEST(random_faults_never_undo_what_was_stored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -144,6 +146,7 @@
     {
         row_committer committer;
         naive_store store;
+        committer.set_fence(row_condition{fence_row, store.put(fence_row, "1")});
         std::vector<write_status> seen;
         committer.update(progress_row, "1", record(seen));
         CPPUNIT_ASSERT(committer.next(start));
@@ -167,6 +170,7 @@
               transaction_status::unknown})
         {
             row_committer committer;
+            committer.set_fence(row_condition{fence_row, 1});
             std::vector<write_status> seen;
             committer.update(progress_row, "1", record(seen));
             CPPUNIT_ASSERT(committer.next(start));
@@ -193,6 +197,16 @@
         CPPUNIT_ASSERT(!store.value(progress_row));
     }
 
+    // Guards against a write of a daemon that leads no more.
+    void update_without_fence_is_fenced()
+    {
+        row_committer committer;
+        std::vector<write_status> seen;
+        committer.update(progress_row, "1", record(seen));
+        CPPUNIT_ASSERT(seen == std::vector{write_status::fenced});
+        CPPUNIT_ASSERT(committer.idle());
+    }
+
     // Leaders follow one another, each on the state that it reads, while the
     // store refuses, loses answers and applies transactions late. The value
     // of a row counts up, so a lower one than was reported is a loss.
