Count strays and failures of every order; write structured logs

Change: a stray takes the room of its job's step, and one of an unknown job keeps the worker full; failures are sets of run numbers.

Logs go to standard output as key=value lines through a bounded queue, with a line for each start, end and ticket decision.

--- a/include/coltsfootrack/base/log.hpp
+++ b/include/coltsfootrack/base/log.hpp
@@ -4,6 +4,8 @@
 #include <coltsfootrack/base/log_level.hpp>
 
 #include <fmt/core.h>
+#include <functional>
+#include <string>
 #include <string_view>
 
 namespace coltsfootrack::base
@@ -16,6 +18,23 @@
 void write_log(log_level level, std::string_view part,
                std::string_view message);
 
+// Takes every line instead of standard error, for example into a log_queue; an
+// empty function restores standard error. The function may be called from any
+// thread and must not log.
+using log_writer =
+    std::function<void(log_level, std::string_view part, std::string_view)>;
+void set_log_writer(log_writer writer);
+
+// The line of a message in key=value form, with its line end:
+//
+//     time=2026-09-13T18:39:30.063Z level=info part=store
+//         event="Commit failed" conflict=a
+//
+// (on one line). The event is the message up to its first full stop; the
+// details follow it as they are.
+std::string structured_line(log_level level, std::string_view part,
+                            std::string_view message);
+
 // Sets the lowest level that is written; the default is info.
 void set_log_level(log_level level);
 
--- a/include/coltsfootrack/fleet/active_run.hpp
+++ b/include/coltsfootrack/fleet/active_run.hpp
@@ -43,6 +43,8 @@
     // No task of a known job: it is stopped, or adopted when its job's row
     // comes.
     bool stray = false;
+    // A stray of which the room is not known.
+    bool unmeasured = false;
     bool standing = false;
     bool uses_leftover = false;
     double latency_target_ms = 0;
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -32,7 +32,7 @@
     std::optional<base::worker_id> worker;
     // The highest run number known.
     std::uint64_t last_run = 0;
-    jobs::failure_count failures;
+    jobs::failed_runs failures;
     std::string checkpoint;
     // Not started before this time.
     base::time_point not_before;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -38,6 +38,8 @@
     std::map<jobs::task_key, active_run> runs;
     // The sum of the room of the runs.
     base::resources used;
+    // Runs of which the room is not known; with one the worker is full.
+    int unmeasured = 0;
     // Processors that tasks on leftover capacity ask for, thousandths.
     std::int64_t leftover_used = 0;
     // The last end that was taken into account, and the last that may be
--- a/include/coltsfootrack/jobs/step_progress.hpp
+++ b/include/coltsfootrack/jobs/step_progress.hpp
@@ -3,28 +3,16 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <vector>
 
 namespace coltsfootrack::jobs
 {
 
-// The failed runs of one task. A run is counted once, however often its end is
-// reported: runs of a task rise, and only those above last_run are new.
-struct failure_count
-{
-    int runs = 0;
-    std::uint64_t last_run = 0;
-
-    friend bool operator==(const failure_count& a, const failure_count& b)
-    {
-        return a.runs == b.runs && a.last_run == b.last_run;
-    }
-
-    friend bool operator!=(const failure_count& a, const failure_count& b)
-    {
-        return !(a == b);
-    }
-};
+// The numbers of the failed runs of one task. Each is counted once, however
+// often and in whatever order the ends are reported: a worker that was away
+// reports the end of an early run after that of a later one.
+using failed_runs = std::set<std::uint64_t>;
 
 // What has ended of one step of one occurrence. Empty for a step of which
 // nothing has ended.
@@ -32,7 +20,7 @@
 {
     // One entry a task.
     std::vector<bool> done;
-    std::map<int, failure_count> failures;
+    std::map<int, failed_runs> failures;
 
     friend bool operator==(const step_progress& a, const step_progress& b)
     {
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -182,7 +182,7 @@
         return;
     }
     metrics_.count_event("task_start_ordered");
-    base::log(base::log_level::debug, log_part,
+    base::log(base::log_level::info, log_part,
               "Start ordered. job={} step={} task={} run={} worker={}",
               next.task.step.job.text(), next.task.step.step, next.task.index,
               next.run, next.worker.text());
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -124,16 +124,14 @@
     }
     const auto newer =
         std::find_if(waiting_.begin(), waiting_.end(),
-                     [&next](const entry& other) {
-                         return !other.is_insert && other.row == next.row;
-                     });
+                     [&next](const entry& other)
+                     { return !other.is_insert && other.row == next.row; });
     if (next.is_insert || newer == waiting_.end())
     {
         waiting_.push_front(std::move(next));
         return;
     }
-    newer->done.insert(newer->done.begin(), next.done.begin(),
-                       next.done.end());
+    newer->done.insert(newer->done.begin(), next.done.begin(), next.done.end());
 }
 
 void row_committer::retry(std::vector<entry>& batch, base::time_point now,
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -139,13 +139,13 @@
             step->tasks[i].done = stored.done[i];
             step->done += stored.done[i] ? 1 : 0;
         }
-        for (const auto& [index, count] : stored.failures)
+        for (const auto& [index, runs] : stored.failures)
         {
             task_record* task = find_task({{id, occurrence, number}, index});
-            if (task != nullptr)
+            if (task != nullptr && !runs.empty())
             {
-                task->failures = count;
-                task->last_run = std::max(task->last_run, count.last_run);
+                task->failures = runs;
+                task->last_run = std::max(task->last_run, *runs.rbegin());
             }
         }
     }
@@ -289,7 +289,7 @@
             for (std::size_t i = 0; i < steps[s].tasks.size(); ++i)
             {
                 const task_record& task = steps[s].tasks[i];
-                if (task.failures.runs > 0)
+                if (!task.failures.empty())
                 {
                     stored.failures[static_cast<int>(i)] = task.failures;
                 }
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -184,7 +184,8 @@
                    base::time_point now) const
 {
     const worker_listing& listing = worker.listing;
-    if (!worker.listed || !worker.synced || worker.silent || listing.leaving ||
+    if (!worker.listed || !worker.synced || worker.silent ||
+        worker.unmeasured > 0 || listing.leaving ||
         listing.service != next.queue->service || now < worker.avoided_until)
     {
         return false;
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -9,6 +9,7 @@
 
 #include "candidate.hpp"
 
+#include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
@@ -34,6 +35,10 @@
         return;
     }
     step->asking = false;
+    base::log(base::log_level::info, "fleet",
+              "Tickets decided. job={} step={} asked={} good={}",
+              key.job.text(), key.step, asked.size(),
+              grants ? static_cast<int>(grants->size()) : -1);
     if (!grants)
     {
         return;
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -97,6 +97,10 @@
     job_record& job = jobs_.at(task.step.job);
     const jobs::step_spec& spec = spec_of(job, task.step.step);
     step_record& step = *find_step(task.step);
+    worker.used -= run.room;
+    usage_[run.team] -= run.need;
+    worker.unmeasured -= run.unmeasured ? 1 : 0;
+    run.unmeasured = false;
     run.stray = false;
     run.need = spec.need;
     run.room = spec.need;
@@ -120,19 +124,40 @@
     ++step.active;
 }
 
+// A run that nobody waits for takes its room until its end is listed. If its
+// job is not known its room is not either, and the worker takes nothing new.
+void fleet::measure_stray(worker_record& worker, const jobs::task_key& task,
+                          active_run& run)
+{
+    run.stray = true;
+    const job_record* job = find_job(task.step.job);
+    const std::size_t step = static_cast<std::size_t>(task.step.step);
+    if (job == nullptr || step >= job->submission.spec.steps.size())
+    {
+        run.unmeasured = true;
+        ++worker.unmeasured;
+        return;
+    }
+    const jobs::step_spec& spec = job->submission.spec.steps[step];
+    run.room = spec.need;
+    run.room.cpu_milli = spec.uses_leftover ? 0 : spec.need.cpu_milli;
+    run.need = spec.need;
+    run.team = job->submission.team;
+    worker.used += run.room;
+    usage_[run.team] += run.need;
+}
+
 fleet::run_map::iterator fleet::drop_run(worker_record& worker,
                                          run_map::iterator run)
 {
     const active_run& dropped = run->second;
     worker.used -= dropped.room;
+    worker.unmeasured -= dropped.unmeasured ? 1 : 0;
     if (dropped.uses_leftover)
     {
         worker.leftover_used -= dropped.need.cpu_milli;
     }
-    if (!dropped.stray)
-    {
-        usage_[dropped.team] -= dropped.need;
-    }
+    usage_[dropped.team] -= dropped.need;
     task_record* task = find_task(run->first);
     if (task != nullptr && task->worker == worker.listing.worker)
     {
@@ -239,7 +264,7 @@
         {
             active_run& added = add_run(worker, listed.task, listed.run,
                                         run_phase::running, now);
-            added.stray = true;
+            measure_stray(worker, listed.task, added);
             found = worker.runs.find(listed.task);
             task_record* task = find_task(listed.task);
             job_record* job = find_job(listed.task.step.job);
@@ -393,15 +418,12 @@
         task->avoid = worker.listing.worker;
         apply_failure(*job, end, now);
     }
-    if (end.kind != end_kind::done)
-    {
-        base::log(base::log_level::info, log_part,
-                  "Run ended. job={} step={} task={} run={} worker={} how={} "
-                  "failures={}",
-                  end.task.step.job.text(), end.task.step.step, end.task.index,
-                  end.run, worker.listing.worker.text(), name_of(end.kind),
-                  task->failures.runs);
-    }
+    base::log(base::log_level::info, log_part,
+              "Run ended. job={} step={} task={} run={} worker={} how={} "
+              "failures={}",
+              end.task.step.job.text(), end.task.step.step, end.task.index,
+              end.run, worker.listing.worker.text(), name_of(end.kind),
+              task->failures.size());
     // An end that changes nothing needs no write, but one that repeats a
     // change that is not stored yet waits for it.
     const bool counted =
@@ -443,15 +465,14 @@
     jobs::task_key counted = end.task;
     counted.index = spec.gang ? 0 : end.task.index;
     task_record& task = *find_task(counted);
-    if (task.done || end.run <= task.failures.last_run)
+    if (task.done || !task.failures.insert(end.run).second)
     {
         return;
     }
-    ++task.failures.runs;
-    task.failures.last_run = end.run;
     mark_changed(job);
     const queue_policy* queue = queue_of(job);
-    if (queue != nullptr && task.failures.runs >= queue->max_attempts)
+    if (queue != nullptr &&
+        static_cast<int>(task.failures.size()) >= queue->max_attempts)
     {
         finish_job(job, jobs::job_state::failed, now);
     }
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 // Each entry of the list: occurrence, step, the tasks as text of 0 and 1, and
-// the failures as [task, runs, last run].
+// the failures as [task, [run...]].
 json to_json(const std::pair<int, int>& key, const step_progress& step)
 {
     std::string done;
@@ -23,9 +23,9 @@
         done += task ? '1' : '0';
     }
     json failures = json::array();
-    for (const auto& [task, count] : step.failures)
+    for (const auto& [task, runs] : step.failures)
     {
-        failures.push_back(json::array({task, count.runs, count.last_run}));
+        failures.push_back(json::array({task, runs}));
     }
     return json::array({key.first, key.second, done, failures});
 }
@@ -39,8 +39,7 @@
     }
     for (const json& entry : in.at(3))
     {
-        step.failures[entry.at(0).get<int>()] = {
-            entry.at(1).get<int>(), entry.at(2).get<std::uint64_t>()};
+        step.failures[entry.at(0).get<int>()] = entry.at(1).get<failed_runs>();
     }
     return step;
 }
--- a/test/cell/row_committer_test.cpp
+++ b/test/cell/row_committer_test.cpp
@@ -25,7 +25,10 @@
 
 row_committer::callback record(std::vector<write_status>& seen)
 {
-    return [&seen](write_status status) { seen.push_back(status); };
+    return [&seen](write_status status)
+    {
+        seen.push_back(status);
+    };
 }
 
 transaction_result answer(transaction_status status)
@@ -146,7 +149,8 @@
     {
         row_committer committer;
         naive_store store;
-        committer.set_fence(row_condition{fence_row, store.put(fence_row, "1")});
+        committer.set_fence(
+            row_condition{fence_row, store.put(fence_row, "1")});
         std::vector<write_status> seen;
         committer.update(progress_row, "1", record(seen));
         CPPUNIT_ASSERT(committer.next(start));
@@ -230,7 +234,9 @@
     {
         const base::random_source random = base::seeded_random(seed);
         const auto chance = [&](std::uint64_t percent)
-        { return random() % 100 < percent; };
+        {
+            return random() % 100 < percent;
+        };
         naive_store store;
         std::vector<std::unique_ptr<leader>> leaders;
         std::vector<transaction> late;
