Preempt checkpointed work of a lower priority for urgent steps

Change: a step that can still be on time stops runs of a lower priority that save checkpoints, as many as it needs, on the limit of its team or on workers that may run it. The HTTP client waits with epoll instead of looking at every call.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -200,8 +200,7 @@
                       std::vector<order>& orders);
     bool start_gang(candidate& next, base::time_point now,
                     std::vector<order>& orders);
-    bool usable(const worker_record& worker, const candidate& next,
-                base::time_point now) const;
+    bool usable(const worker_record& worker, const candidate& next) const;
     bool has_room(const worker_record& worker, const candidate& next) const;
     bool has_ticket(const worker_record& worker, const candidate& next,
                     base::time_point now) const;
@@ -210,11 +209,18 @@
     void order_start(const candidate& next, int index, worker_record& worker,
                      std::uint64_t run, base::time_point now,
                      std::vector<order>& orders);
-    void reserve(const candidate& next, base::time_point now);
+    void reserve(const candidate& next);
+    void find_open_workers(base::time_point now);
+    const std::vector<worker_record*>&
+    open_workers(const base::service_id& service) const;
+    void make_room(const candidate& next, base::time_point now);
+    bool make_limit(const candidate& next, base::time_point now);
+    bool may_preempt(const candidate& next, const jobs::task_key& key,
+                     const active_run& run, base::time_point now) const;
+    base::resources promised_room(const worker_record& worker) const;
     void order_tickets(std::vector<candidate>& waiting, base::time_point now,
                        ticket_slots slots, std::vector<order>& orders);
-    std::vector<base::worker_id> workers_to_ask(const candidate& next,
-                                                base::time_point now) const;
+    std::vector<base::worker_id> workers_to_ask(const candidate& next) const;
 
     fleet_options options_;
     // When this leader kept others from giving orders.
@@ -228,6 +234,11 @@
     std::map<base::worker_id, jobs::step_key> reserved_;
     std::map<base::service_id, std::size_t> reservations_;
     std::map<base::team_id, share_meter> shares_;
+    // Of the present round: the workers of each service that take tasks, and
+    // the room that will be free and that steps wait for.
+    std::map<base::service_id, std::vector<worker_record*>> open_workers_;
+    std::map<base::worker_id, base::resources> claimed_;
+    std::map<base::team_id, base::resources> claimed_limits_;
     // Services with a worker that may run what nobody knows of yet.
     std::set<base::service_id> unsettled_;
 };
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -25,6 +25,11 @@
     // The longest lease that any leader may have granted.
     milliseconds longest_lease{5000};
 
+    // A team may hand in the share of this window and some jobs more at once;
+    // the platform's figures. What lies beyond waits behind all other work.
+    std::chrono::seconds share_window{5};
+    int share_slack = 20;
+
     // How much longer a task takes on a rack without its data; the platform's
     // figure.
     double far_factor = 2;
--- a/include/coltsfootrack/fleet/share_meter.hpp
+++ b/include/coltsfootrack/fleet/share_meter.hpp
@@ -9,19 +9,22 @@
 namespace coltsfootrack::fleet
 {
 
-// Tells which jobs of a team are within its share: a token bucket that holds
-// one second of the share. It answers one team that sends many times its usual
-// load: what lies beyond its share waits behind the work of others.
+// Tells which jobs of a team are within its share: a token bucket. It answers
+// one team that sends many times its usual load: what lies beyond its share
+// waits behind the work of others.
 //
 // Thread safety: none.
 class share_meter
 {
 public:
-    // Whether one more job at this time is within the rate per second. Times
-    // before the last one count as that.
-    bool take(double per_second, base::time_point at)
+    // Whether one more job at this time is within the rate per second, where
+    // the share of a window and some jobs more may come at once. Times before
+    // the last one count as that.
+    bool take(double per_second, std::chrono::seconds window, int slack,
+              base::time_point at)
     {
-        const double capacity = std::max(1.0, per_second);
+        const double capacity =
+            per_second * static_cast<double>(window.count()) + slack;
         if (!started_)
         {
             started_ = true;
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -167,7 +167,8 @@
     if (team != nullptr && team->weight > 0)
     {
         job.over_share =
-            !shares_[team->team].take(team->weight, job.submitted_at);
+            !shares_[team->team].take(team->weight, options_.share_window,
+                                      options_.share_slack, job.submitted_at);
     }
 }
 
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -165,6 +165,9 @@
 {
     reserved_.clear();
     reservations_.clear();
+    claimed_.clear();
+    claimed_limits_.clear();
+    find_open_workers(now);
     for (candidate& next : waiting)
     {
         if (next.pending.empty())
@@ -173,27 +176,47 @@
         }
         const bool all = next.spec->gang ? start_gang(next, now, orders)
                                          : start_single(next, now, orders);
+        if (!all)
+        {
+            make_room(next, now);
+        }
         if (!all && within_limit(next, 1))
         {
-            reserve(next, now);
+            reserve(next);
         }
     }
 }
 
-bool fleet::usable(const worker_record& worker, const candidate& next,
-                   base::time_point now) const
+// The workers that take tasks in this round, by service. A step asks beside
+// this only for a label.
+void fleet::find_open_workers(base::time_point now)
 {
-    const worker_listing& listing = worker.listing;
-    if (!worker.listed || !worker.synced || worker.silent ||
-        worker.unmeasured > 0 || listing.leaving ||
-        listing.service != next.queue->service || now < worker.avoided_until)
+    open_workers_.clear();
+    for (auto& [id, worker] : workers_)
     {
-        return false;
+        if (worker.listed && worker.synced && !worker.silent &&
+            worker.unmeasured == 0 && !worker.listing.leaving &&
+            now >= worker.avoided_until)
+        {
+            open_workers_[worker.listing.service].push_back(&worker);
+        }
     }
+}
+
+const std::vector<worker_record*>&
+fleet::open_workers(const base::service_id& service) const
+{
+    static const std::vector<worker_record*> none;
+    const auto found = open_workers_.find(service);
+    return found == open_workers_.end() ? none : found->second;
+}
+
+bool fleet::usable(const worker_record& worker, const candidate& next) const
+{
     const std::string& label = next.spec->required_label;
+    const auto& labels = worker.listing.labels;
     return label.empty() ||
-           std::find(listing.labels.begin(), listing.labels.end(), label) !=
-               listing.labels.end();
+           std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
 bool fleet::has_room(const worker_record& worker, const candidate& next) const
@@ -296,18 +319,18 @@
         double best_cost = std::numeric_limits<double>::max();
         if (left.empty() && within_limit(next, 1))
         {
-            for (auto& [id, worker] : workers_)
+            for (worker_record* worker : open_workers(next.queue->service))
             {
-                if (!usable(worker, next, now) ||
-                    !has_ticket(worker, next, now) || !has_room(worker, next))
+                if (!usable(*worker, next) || !has_room(*worker, next) ||
+                    !has_ticket(*worker, next, now))
                 {
                     continue;
                 }
-                double cost = cost_of(worker, next);
-                cost += task.avoid == id ? avoided_cost : 0;
+                double cost = cost_of(*worker, next);
+                cost += task.avoid == worker->listing.worker ? avoided_cost : 0;
                 if (cost < best_cost)
                 {
-                    best = &worker;
+                    best = worker;
                     best_cost = cost;
                 }
             }
@@ -336,14 +359,14 @@
     }
     std::vector<worker_record*> open;
     std::set<std::string> racks;
-    for (auto& [id, worker] : workers_)
+    for (worker_record* worker : open_workers(next.queue->service))
     {
-        if (usable(worker, next, now) && has_ticket(worker, next, now))
+        if (usable(*worker, next) && has_ticket(*worker, next, now))
         {
-            open.push_back(&worker);
-            racks.insert(worker.listing.labels.empty()
+            open.push_back(worker);
+            racks.insert(worker->listing.labels.empty()
                              ? std::string()
-                             : worker.listing.labels.back());
+                             : worker->listing.labels.back());
         }
     }
     // Places the gang on the workers of one rack, or of all for an empty name.
@@ -453,40 +476,36 @@
     orders.push_back(std::move(start));
 }
 
-void fleet::reserve(const candidate& next, base::time_point now)
+void fleet::reserve(const candidate& next)
 {
     const base::service_id& service = next.queue->service;
-    std::size_t members = 0;
+    const auto& members = open_workers(service);
     worker_record* best = nullptr;
     base::resources best_free;
-    for (auto& [id, worker] : workers_)
+    for (worker_record* worker : members)
     {
-        if (worker.listing.service != service)
-        {
-            continue;
-        }
-        ++members;
         const bool allowed =
-            !next.queue->tickets || next.record->tickets.count(id) != 0;
-        if (!allowed || reserved_.count(id) != 0 ||
-            !usable(worker, next, now) ||
-            !next.spec->need.fits_in(worker.listing.capacity))
+            !next.queue->tickets ||
+            next.record->tickets.count(worker->listing.worker) != 0;
+        if (!allowed || reserved_.count(worker->listing.worker) != 0 ||
+            !usable(*worker, next) ||
+            !next.spec->need.fits_in(worker->listing.capacity))
         {
             continue;
         }
-        const base::resources free = worker.listing.capacity - worker.used;
+        const base::resources free = worker->listing.capacity - worker->used;
         if (best == nullptr || free.accelerators > best_free.accelerators ||
             (free.accelerators == best_free.accelerators &&
              free.cpu_milli > best_free.cpu_milli))
         {
-            best = &worker;
+            best = worker;
             best_free = free;
         }
     }
     std::size_t& count = reservations_[service];
     if (best != nullptr &&
         static_cast<double>(count + 1) <=
-            options_.reserved_part * static_cast<double>(members))
+            options_.reserved_part * static_cast<double>(members.size()))
     {
         ++count;
         reserved_[best->listing.worker] = next.key;
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -44,13 +44,14 @@
     settle_workers(now);
     settle_jobs(now, wall);
     stop_stalled(now);
-    order_stops(now, orders);
     if (catalogue_)
     {
         std::vector<candidate> waiting = candidates(now);
         start_tasks(waiting, now, orders);
         order_tickets(waiting, now, slots, orders);
     }
+    // After the starts, which may stop runs to make room.
+    order_stops(now, orders);
     order_pacing(now, orders);
     order_saves(orders);
     return orders;
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -64,8 +64,7 @@
     }
 }
 
-std::vector<base::worker_id> fleet::workers_to_ask(const candidate& next,
-                                                   base::time_point now) const
+std::vector<base::worker_id> fleet::workers_to_ask(const candidate& next) const
 {
     struct option
     {
@@ -77,9 +76,11 @@
     bool any_room = false;
     bool good_room = false;
     bool any_good = false;
-    for (const auto& [id, worker] : workers_)
+    for (const worker_record* entry : open_workers(next.queue->service))
     {
-        if (!usable(worker, next, now) ||
+        const worker_record& worker = *entry;
+        const base::worker_id& id = worker.listing.worker;
+        if (!usable(worker, next) ||
             !next.spec->need.fits_in(worker.listing.capacity))
         {
             continue;
@@ -153,9 +154,11 @@
         }
         bool fresh = false;
         bool room = false;
-        for (const auto& [id, worker] : workers_)
+        for (const worker_record* entry : open_workers(next.queue->service))
         {
-            if (!usable(worker, next, now))
+            const worker_record& worker = *entry;
+            const base::worker_id& id = worker.listing.worker;
+            if (!usable(worker, next))
             {
                 continue;
             }
@@ -169,8 +172,10 @@
         }
         const bool ready = !next.pending.empty();
         std::size_t& head = heads[next.queue->service];
-        const bool at_head = head < options_.ready_steps;
-        head += ready ? 1 : 0;
+        const auto& policy = *next.queue->tickets;
+        const bool cheap = policy.decide_time < slots.long_request;
+        const bool at_head = cheap || head < options_.ready_steps;
+        head += ready && !cheap ? 1 : 0;
         // A step that waits for room asks again when its tickets have run out;
         // one that could start on other workers asks for those.
         const bool wanted = ready ? (room || (at_head && !fresh)) : !fresh;
@@ -178,12 +183,11 @@
         {
             continue;
         }
-        std::vector<base::worker_id> named = workers_to_ask(next, now);
+        std::vector<base::worker_id> named = workers_to_ask(next);
         if (named.empty())
         {
             continue;
         }
-        const auto& policy = *next.queue->tickets;
         const auto expected =
             policy.decide_time +
             static_cast<double>(named.size()) * policy.each_time;
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -1,4 +1,8 @@
 // The asynchronous HTTP client: the multi interface of libcurl on one thread.
+//
+// The thread waits with epoll and tells libcurl which sockets are ready, since
+// curl_multi_perform looks at every call in flight each time, and a leader has
+// a waiting call at each worker.
 
 #include "transfer.hpp"
 
@@ -6,10 +10,17 @@
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/http/async_client.hpp>
 
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <cerrno>
+#include <cstring>
 #include <map>
 #include <mutex>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 #include <vector>
 
@@ -22,7 +33,10 @@
 constexpr std::size_t max_spare_handles = 64;
 
 // The thread wakes at least this often, to see the end of the client.
-constexpr int max_wait_ms = 1000;
+constexpr long max_wait_ms = 1000;
+
+// Ready sockets handled before the next wait.
+constexpr int max_events = 64;
 
 // One call, from its acceptance to its callback.
 struct call
@@ -44,7 +58,17 @@
         : options_(options)
     {
         initialize_library();
+        epoll_ = epoll_create1(EPOLL_CLOEXEC);
+        wake_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+        epoll_event event{};
+        event.events = EPOLLIN;
+        event.data.fd = wake_;
+        epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &event);
         multi_ = curl_multi_init();
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &on_socket);
+        curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &on_timer);
+        curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
         curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
         curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
                           static_cast<long>(connections_per_address));
@@ -59,7 +83,7 @@
     ~impl()
     {
         stopping_ = true;
-        curl_multi_wakeup(multi_);
+        wake();
         thread_.join();
         for (auto& [handle, running] : running_)
         {
@@ -72,6 +96,8 @@
             curl_easy_cleanup(handle);
         }
         curl_multi_cleanup(multi_);
+        ::close(wake_);
+        ::close(epoll_);
     }
 
     void send(std::unique_ptr<call> next)
@@ -85,7 +111,7 @@
         }
         if (first)
         {
-            curl_multi_wakeup(multi_);
+            wake();
         }
     }
 
@@ -95,28 +121,99 @@
     }
 
 private:
+    using steady = std::chrono::steady_clock;
+
+    // libcurl wants to know when a socket is ready.
+    static int on_socket(CURL* /*handle*/, curl_socket_t socket, int what,
+                         void* context, void* known)
+    {
+        auto& self = *static_cast<impl*>(context);
+        if (what == CURL_POLL_REMOVE)
+        {
+            epoll_ctl(self.epoll_, EPOLL_CTL_DEL, socket, nullptr);
+            return 0;
+        }
+        epoll_event event{};
+        event.data.fd = socket;
+        event.events = (what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U;
+        event.events |= (what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U;
+        const int operation = known != nullptr ? EPOLL_CTL_MOD : EPOLL_CTL_ADD;
+        if (epoll_ctl(self.epoll_, operation, socket, &event) != 0)
+        {
+            base::log(base::log_level::error, "http",
+                      "Socket cannot be waited for. error={}",
+                      std::strerror(errno));
+        }
+        curl_multi_assign(self.multi_, socket, &self);
+        return 0;
+    }
+
+    // libcurl wants to be called after a time; -1 for never.
+    static int on_timer(CURLM* /*multi*/, long timeout_ms, void* context)
+    {
+        auto& self = *static_cast<impl*>(context);
+        self.has_timer_ = timeout_ms >= 0;
+        self.timer_ =
+            steady::now() + std::chrono::milliseconds(std::max(0L, timeout_ms));
+        return 0;
+    }
+
+    void wake() const
+    {
+        const std::uint64_t one = 1;
+        // Fails only if the counter is full, and then the thread wakes anyway.
+        [[maybe_unused]] const ssize_t written = write(wake_, &one, sizeof one);
+    }
+
+    int wait_ms() const
+    {
+        if (!has_timer_)
+        {
+            return max_wait_ms;
+        }
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            timer_ - steady::now());
+        return static_cast<int>(
+            std::clamp<std::int64_t>(left.count(), 0, max_wait_ms));
+    }
+
     void run()
     {
+        std::array<epoll_event, max_events> events{};
         while (!stopping_)
         {
             start_accepted();
+            const int count =
+                epoll_wait(epoll_, events.data(), max_events, wait_ms());
             int active = 0;
-            curl_multi_perform(multi_, &active);
-            finish_done();
-            if (has_accepted())
+            for (int i = 0; i < count; ++i)
             {
-                continue;
+                const epoll_event& event = events[static_cast<std::size_t>(i)];
+                if (event.data.fd == wake_)
+                {
+                    std::uint64_t ignored = 0;
+                    [[maybe_unused]] const ssize_t size =
+                        read(wake_, &ignored, sizeof ignored);
+                    continue;
+                }
+                const int ready =
+                    ((event.events & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0) |
+                    ((event.events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+                    ((event.events & (EPOLLERR | EPOLLHUP)) != 0
+                         ? CURL_CSELECT_ERR
+                         : 0);
+                curl_multi_socket_action(multi_, event.data.fd, ready, &active);
+            }
+            if (has_timer_ && timer_ <= steady::now())
+            {
+                has_timer_ = false;
+                curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0,
+                                         &active);
             }
-            curl_multi_poll(multi_, nullptr, 0, max_wait_ms, nullptr);
+            finish_done();
         }
     }
 
-    bool has_accepted()
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        return !accepted_.empty();
-    }
-
     void start_accepted()
     {
         std::vector<std::unique_ptr<call>> accepted;
@@ -211,6 +308,8 @@
     }
 
     client_options options_;
+    int epoll_ = -1;
+    int wake_ = -1;
     CURLM* multi_ = nullptr;
     std::atomic<bool> stopping_{false};
     std::atomic<std::size_t> in_flight_{0};
@@ -219,6 +318,8 @@
     // Only the thread uses what follows.
     std::map<CURL*, std::unique_ptr<call>> running_;
     std::vector<CURL*> spare_;
+    bool has_timer_ = false;
+    steady::time_point timer_;
     std::thread thread_;
 };
 
--- a/test/fleet/fleet_fixture.hpp
+++ b/test/fleet/fleet_fixture.hpp
@@ -42,6 +42,10 @@
         auto value = std::make_shared<catalogue>();
         value->version = ++version_;
         value->queues[queue_.name] = queue_;
+        for (const queue_policy& other : other_queues_)
+        {
+            value->queues[other.name] = other;
+        }
         value->services[queue_.service].service = queue_.service;
         if (!team_.team.empty())
         {
@@ -61,10 +65,11 @@
 
     void add_job(const std::string& id, std::vector<jobs::step_spec> steps,
                  bool inherited = false,
-                 const jobs::job_progress& progress = {})
+                 const jobs::job_progress& progress = {},
+                 const std::string& queue = "q")
     {
         jobs::job_submission job;
-        job.queue = queue_.name;
+        job.queue = queue;
         job.team = team_.team;
         job.submitted = wall();
         job.spec.payload = "p";
@@ -165,6 +170,7 @@
 
     base::time_point now_ = base::time_point(std::chrono::seconds(1000));
     queue_policy queue_;
+    std::vector<queue_policy> other_queues_;
     team_policy team_;
     fleet fleet_;
     std::vector<start_order> starts;
