Bound the work of a round of decisions

Ruled out: the platform's limits.

Change: steps are tried only where a worker has room; only the first 16 steps without room, per service, preempt, keep workers free and ask for tickets; tables of workers go by number; a round waits four times its own length before the next. Tickets count from the latest time of the decision, not from when the leader read it.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -142,6 +142,7 @@
     bool lost_ = false;
     bool step_requested_ = false;
     base::time_point last_step_;
+    base::duration last_step_time_{0};
     std::shared_ptr<bool> alive_;
 };
 
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -6,6 +6,7 @@
 #include <coltsfootrack/fleet/job_record.hpp>
 #include <coltsfootrack/fleet/order.hpp>
 #include <coltsfootrack/fleet/order_outcome.hpp>
+#include <coltsfootrack/fleet/service_round.hpp>
 #include <coltsfootrack/fleet/share_meter.hpp>
 #include <coltsfootrack/fleet/ticket_grant.hpp>
 #include <coltsfootrack/fleet/ticket_slots.hpp>
@@ -141,7 +142,6 @@
     step_record* find_step(const jobs::step_key& key);
     task_record* find_task(const jobs::task_key& key);
     const jobs::step_spec& spec_of(const job_record& job, int step) const;
-    const queue_policy* queue_of(const job_record& job) const;
     void mark_changed(job_record& job);
     void finish_job(job_record& job, jobs::job_state state,
                     base::time_point now);
@@ -192,8 +192,10 @@
                    const jobs::step_spec& spec, const queue_policy& queue,
                    base::time_point now) const;
     void note_share(job_record& job);
-    bool blocked(const job_record& job, const base::service_id& service) const;
     std::vector<candidate> candidates(base::time_point now);
+    void add_candidates(job_record& job, service_round& round,
+                        base::time_point now,
+                        std::vector<candidate>& found) const;
     void start_tasks(std::vector<candidate>& waiting, base::time_point now,
                      std::vector<order>& orders);
     bool start_single(candidate& next, base::time_point now,
@@ -211,13 +213,11 @@
                      std::vector<order>& orders);
     void reserve(const candidate& next);
     void find_open_workers(base::time_point now);
-    const std::vector<worker_record*>&
-    open_workers(const base::service_id& service) const;
+    bool any_room(const candidate& next) const;
     void make_room(const candidate& next, base::time_point now);
     bool make_limit(const candidate& next, base::time_point now);
     bool may_preempt(const candidate& next, const jobs::task_key& key,
                      const active_run& run, base::time_point now) const;
-    base::resources promised_room(const worker_record& worker) const;
     void order_tickets(std::vector<candidate>& waiting, base::time_point now,
                        ticket_slots slots, std::vector<order>& orders);
     std::vector<base::worker_id> workers_to_ask(const candidate& next) const;
@@ -231,16 +231,12 @@
     std::map<base::job_id, base::time_point> early_cancels_;
     std::map<base::team_id, base::resources> usage_;
     std::map<base::job_id, bool> dirty_;
-    std::map<base::worker_id, jobs::step_key> reserved_;
-    std::map<base::service_id, std::size_t> reservations_;
+    int next_worker_number_ = 0;
     std::map<base::team_id, share_meter> shares_;
     // Of the present round: the workers of each service that take tasks, and
-    // the room that will be free and that steps wait for.
-    std::map<base::service_id, std::vector<worker_record*>> open_workers_;
-    std::map<base::worker_id, base::resources> claimed_;
+    // what steps that came before wait for of the limits of teams.
+    std::map<base::service_id, service_round> rounds_;
     std::map<base::team_id, base::resources> claimed_limits_;
-    // Services with a worker that may run what nobody knows of yet.
-    std::set<base::service_id> unsettled_;
 };
 
 } // namespace coltsfootrack::fleet
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -45,6 +45,11 @@
     // Steps without room that keep their tickets fresh, per service.
     std::size_t ready_steps = 4;
 
+    // Steps without room, per service, that other work is stopped for, that
+    // workers are kept free for, and that tickets are asked for. Bounds the
+    // work of a round when very many jobs wait.
+    std::size_t considered_steps = 16;
+
     // A run that its worker does not list, without an end, is given up after
     // this many reports in a row.
     int missing_reports = 2;
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -2,9 +2,11 @@
 #define COLTSFOOTRACK_FLEET_JOB_RECORD_HPP_INCLUDED
 
 #include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/fleet/queue_policy.hpp>
 #include <coltsfootrack/jobs/job_progress.hpp>
 #include <coltsfootrack/jobs/job_submission.hpp>
 
+#include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -47,9 +49,10 @@
     int done = 0;
     // Tasks with a run.
     int active = 0;
-    std::map<base::worker_id, held_ticket> tickets;
+    // By the number of the worker.
+    absl::flat_hash_map<int, held_ticket> tickets;
     // Workers, with their life, that may not run the step.
-    std::map<base::worker_id, std::int64_t> refused;
+    absl::flat_hash_map<int, std::int64_t> refused;
     bool asking = false;
     base::time_point asked_at;
     // The start of the oldest run that is still active.
@@ -61,6 +64,8 @@
 {
     base::job_id id;
     jobs::job_submission submission;
+    // In the catalogue in force; null if it is not there.
+    const queue_policy* queue = nullptr;
     // By occurrence, then step. An occurrence is empty until it is due.
     std::vector<std::vector<step_record>> occurrences;
     jobs::job_state state = jobs::job_state::queued;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -3,8 +3,10 @@
 
 #include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/fleet/active_run.hpp>
+#include <coltsfootrack/fleet/job_record.hpp>
 #include <coltsfootrack/fleet/worker_lease.hpp>
 #include <coltsfootrack/fleet/worker_listing.hpp>
+#include <coltsfootrack/jobs/task_key.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -27,6 +29,8 @@
 struct worker_record
 {
     worker_listing listing;
+    // A number of its own, for tables of workers.
+    int number = 0;
     // On the platform's list now.
     bool listed = true;
     // Has reported to this leader, so that its runs are known.
@@ -55,6 +59,10 @@
     bool several_jobs_failed = false;
     int quarantines = 0;
     base::time_point avoided_until;
+    // Of the present round: the room of runs that are being stopped, less what
+    // steps wait for, and the step that it is kept free for.
+    base::resources promised;
+    const step_record* kept_for = nullptr;
     // The last change of the pace of tasks on leftover capacity.
     base::time_point paced_at;
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -19,6 +19,12 @@
 // answer.
 constexpr std::chrono::milliseconds refused_pause{200};
 
+// Rounds of decisions take at most one part in this of the control thread.
+constexpr int step_share = 4;
+
+// The way of a request for tickets to a peer of another region and back.
+constexpr std::chrono::milliseconds ticket_way{60};
+
 } // namespace
 
 leadership::leadership(daemon::control_loop& loop, const base::clock& clock,
@@ -144,7 +150,10 @@
     }
     step_requested_ = true;
     const base::time_point now = clock_.now();
-    const auto due = last_step_ + options_.step_pause;
+    // A round that takes long must leave the thread time for everything else.
+    const auto due =
+        last_step_ + std::max<base::duration>(options_.step_pause,
+                                              step_share * last_step_time_);
     if (due <= now)
     {
         loop_.post(guarded([this] { step(); }));
@@ -169,6 +178,7 @@
     }
     renew_all();
     hooks_.commit();
+    last_step_time_ = clock_.now() - last_step_;
 }
 
 void leadership::carry_out(const fleet::start_order& next)
@@ -246,10 +256,14 @@
 void leadership::carry_out(const fleet::ticket_order& next)
 {
     metrics_.count_event("ticket_request");
+    // A ticket counts from the decision, which may have waited here a while
+    // before it is read.
+    const base::time_point latest_decision =
+        clock_.now() + next.expected + ticket_way;
     hooks_.ask_tickets(
         next,
-        [this, alive = std::weak_ptr<bool>(alive_),
-         next](std::optional<std::vector<fleet::ticket_grant>> grants)
+        [this, alive = std::weak_ptr<bool>(alive_), next, latest_decision](
+            std::optional<std::vector<fleet::ticket_grant>> grants)
         {
             if (alive.expired())
             {
@@ -260,7 +274,8 @@
                 metrics_.count_event("ticket_request_failed");
             }
             fleet_.on_tickets(next.step, next.workers, grants,
-                              clock_.now() + next.valid_for);
+                              std::min(clock_.now(), latest_decision) +
+                                  next.valid_for);
             request_step();
         });
 }
--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/fleet/job_record.hpp>
 #include <coltsfootrack/fleet/queue_policy.hpp>
+#include <coltsfootrack/fleet/service_round.hpp>
 #include <coltsfootrack/jobs/step_key.hpp>
 
 #include <tuple>
@@ -16,11 +17,14 @@
 {
     job_record* job = nullptr;
     const queue_policy* queue = nullptr;
+    service_round* round = nullptr;
     step_record* record = nullptr;
     const jobs::step_spec* spec = nullptr;
     jobs::step_key key;
     // The tasks to start; empty for a step whose turn comes soon.
     std::vector<int> pending;
+    // Among the first of its service that found no room.
+    bool considered = true;
     // The place in the order; lower goes first.
     int rank = 0;
     base::time_point due;
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -60,11 +60,6 @@
     return job.submission.spec.steps[static_cast<std::size_t>(step)];
 }
 
-const queue_policy* fleet::queue_of(const job_record& job) const
-{
-    return catalogue_ ? catalogue_->queue(job.submission.queue) : nullptr;
-}
-
 void fleet::set_catalogue(std::shared_ptr<const catalogue> value)
 {
     catalogue_ = std::move(value);
@@ -76,7 +71,8 @@
 
 void fleet::set_deadlines(job_record& job)
 {
-    const queue_policy* queue = queue_of(job);
+    job.queue = catalogue_ ? catalogue_->queue(job.submission.queue) : nullptr;
+    const queue_policy* queue = job.queue;
     if (queue == nullptr)
     {
         return;
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -49,27 +49,12 @@
     {
         return false;
     }
-    const queue_policy* queue = queue_of(job->second);
+    const queue_policy* queue = job->second.queue;
     const jobs::step_spec& spec = spec_of(job->second, key.step.step);
     return queue != nullptr && queue->priority > next.queue->priority &&
            spec.checkpoints && !spec.gang;
 }
 
-// The room of runs that are being stopped, as far as no step waits for it.
-base::resources fleet::promised_room(const worker_record& worker) const
-{
-    base::resources room;
-    for (const auto& [key, run] : worker.runs)
-    {
-        if (run.phase == run_phase::stopping)
-        {
-            room += run.room;
-        }
-    }
-    const auto claimed = claimed_.find(worker.listing.worker);
-    return claimed == claimed_.end() ? room : room - claimed->second;
-}
-
 // Stops runs of the same team for a step that its limit holds up. False if the
 // limit is not what the step waits for.
 bool fleet::make_limit(const candidate& next, base::time_point now)
@@ -158,11 +143,10 @@
     for (std::size_t wanted = next.pending.size(); wanted > 0; --wanted)
     {
         option best;
-        for (worker_record* worker : open_workers(next.queue->service))
+        for (worker_record* worker : next.round->open)
         {
-            const bool allowed =
-                !next.queue->tickets ||
-                next.record->tickets.count(worker->listing.worker) != 0;
+            const bool allowed = !next.queue->tickets ||
+                                 next.record->tickets.contains(worker->number);
             if (!allowed || !usable(*worker, next) ||
                 !need.fits_in(worker->listing.capacity))
             {
@@ -171,8 +155,8 @@
             option tried;
             tried.worker = worker;
             tried.stopped = 0;
-            base::resources free = worker->listing.capacity - worker->used +
-                                   promised_room(*worker);
+            base::resources free =
+                worker->listing.capacity - worker->used + worker->promised;
             for (auto& [key, run] : worker->runs)
             {
                 if (need.fits_in(free))
@@ -195,9 +179,10 @@
         {
             return;
         }
-        claimed_[best.worker->listing.worker] += need;
+        best.worker->promised -= need;
         for (auto& [key, run] : best.victims)
         {
+            best.worker->promised += run->room;
             request_stop(*run);
             base::log(base::log_level::info, log_part,
                       "Run preempted. job={} step={} task={} run={} worker={} "
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -97,91 +97,95 @@
 
 std::vector<candidate> fleet::candidates(base::time_point now)
 {
-    unsettled_.clear();
-    for (const auto& [id, worker] : workers_)
-    {
-        if (!worker.synced && !worker.lease.over(now, since_))
-        {
-            unsettled_.insert(worker.listing.service);
-        }
-    }
+    find_open_workers(now);
     std::vector<candidate> found;
     for (auto& [id, job] : jobs_)
     {
-        const queue_policy* queue = queue_of(job);
-        if (job.final_state() || queue == nullptr ||
-            blocked(job, queue->service))
+        if (job.final_state() || job.queue == nullptr)
         {
             continue;
         }
-        for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+        service_round& round = rounds_[job.queue->service];
+        if (!job.inherited || !round.unsettled)
         {
-            for (std::size_t s = 0; s < job.occurrences[k].size(); ++s)
+            add_candidates(job, round, now, found);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+void fleet::add_candidates(job_record& job, service_round& round,
+                           base::time_point now,
+                           std::vector<candidate>& found) const
+{
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+    {
+        for (std::size_t s = 0; s < job.occurrences[k].size(); ++s)
+        {
+            step_record& step = job.occurrences[k][s];
+            const int total = static_cast<int>(step.tasks.size());
+            if (step.done + step.active >= total)
             {
-                step_record& step = job.occurrences[k][s];
-                const int total = static_cast<int>(step.tasks.size());
-                if (step.done + step.active >= total)
-                {
-                    continue;
-                }
-                const jobs::step_spec& spec = spec_of(job, static_cast<int>(s));
-                candidate next;
-                next.job = &job;
-                next.queue = queue;
-                next.record = &step;
-                next.spec = &spec;
-                next.key = {id, static_cast<int>(k), static_cast<int>(s)};
-                next.rank = rank_of(job, *queue, spec.standing, now);
-                next.due = job.due;
-                const bool ready = step_ready(job, k, spec);
-                if (!ready && !step_soon(job, k, spec, *queue, now))
-                {
-                    continue;
-                }
-                for (int i = 0; ready && i < total; ++i)
-                {
-                    const task_record& task =
-                        step.tasks[static_cast<std::size_t>(i)];
-                    if (!task.done && !task.worker && now >= task.not_before)
-                    {
-                        next.pending.push_back(i);
-                    }
-                }
-                if (spec.gang && ready &&
-                    static_cast<int>(next.pending.size()) < total)
+                continue;
+            }
+            const jobs::step_spec& spec = spec_of(job, static_cast<int>(s));
+            const bool ready = step_ready(job, k, spec);
+            if (!ready && !step_soon(job, k, spec, *job.queue, now))
+            {
+                continue;
+            }
+            candidate next;
+            for (int i = 0; ready && i < total; ++i)
+            {
+                const task_record& task =
+                    step.tasks[static_cast<std::size_t>(i)];
+                if (!task.done && !task.worker && now >= task.not_before)
                 {
-                    continue;
+                    next.pending.push_back(i);
                 }
-                found.push_back(std::move(next));
             }
+            if (spec.gang && ready &&
+                static_cast<int>(next.pending.size()) < total)
+            {
+                continue;
+            }
+            next.job = &job;
+            next.queue = job.queue;
+            next.round = &round;
+            next.record = &step;
+            next.spec = &spec;
+            next.key = {job.id, static_cast<int>(k), static_cast<int>(s)};
+            next.rank = rank_of(job, *job.queue, spec.standing, now);
+            next.due = job.due;
+            found.push_back(std::move(next));
         }
     }
-    std::sort(found.begin(), found.end());
-    return found;
 }
 
 void fleet::start_tasks(std::vector<candidate>& waiting, base::time_point now,
                         std::vector<order>& orders)
 {
-    reserved_.clear();
-    reservations_.clear();
-    claimed_.clear();
     claimed_limits_.clear();
-    find_open_workers(now);
     for (candidate& next : waiting)
     {
         if (next.pending.empty())
         {
             continue;
         }
-        const bool all = next.spec->gang ? start_gang(next, now, orders)
-                                         : start_single(next, now, orders);
-        if (!all)
+        const bool all = any_room(next) &&
+                         (next.spec->gang ? start_gang(next, now, orders)
+                                          : start_single(next, now, orders));
+        if (all)
         {
-            make_room(next, now);
+            continue;
         }
-        if (!all && within_limit(next, 1))
+        next.considered =
+            next.round->unmet < options_.considered_steps || any_room(next);
+        ++next.round->unmet;
+        if (next.considered)
         {
+            make_room(next, now);
             reserve(next);
         }
     }
@@ -191,24 +195,35 @@
 // this only for a label.
 void fleet::find_open_workers(base::time_point now)
 {
-    open_workers_.clear();
+    rounds_.clear();
     for (auto& [id, worker] : workers_)
     {
+        service_round& round = rounds_[worker.listing.service];
+        round.unsettled = round.unsettled ||
+                          (!worker.synced && !worker.lease.over(now, since_));
+        worker.kept_for = nullptr;
+        worker.promised = base::resources();
+        for (const auto& [key, run] : worker.runs)
+        {
+            if (run.phase == run_phase::stopping)
+            {
+                worker.promised += run.room;
+            }
+        }
         if (worker.listed && worker.synced && !worker.silent &&
             worker.unmeasured == 0 && !worker.listing.leaving &&
             now >= worker.avoided_until)
         {
-            open_workers_[worker.listing.service].push_back(&worker);
+            round.open.push_back(&worker);
         }
     }
 }
 
-const std::vector<worker_record*>&
-fleet::open_workers(const base::service_id& service) const
+bool fleet::any_room(const candidate& next) const
 {
-    static const std::vector<worker_record*> none;
-    const auto found = open_workers_.find(service);
-    return found == open_workers_.end() ? none : found->second;
+    return std::any_of(next.round->open.begin(), next.round->open.end(),
+                       [&](const worker_record* worker)
+                       { return has_room(*worker, next); });
 }
 
 bool fleet::usable(const worker_record& worker, const candidate& next) const
@@ -238,8 +253,7 @@
     {
         return false;
     }
-    const auto kept = reserved_.find(worker.listing.worker);
-    if (kept != reserved_.end() && kept->second != next.key)
+    if (worker.kept_for != nullptr && worker.kept_for != next.record)
     {
         return false;
     }
@@ -260,7 +274,7 @@
     {
         return true;
     }
-    const auto held = next.record->tickets.find(worker.listing.worker);
+    const auto held = next.record->tickets.find(worker.number);
     return held != next.record->tickets.end() &&
            held->second.life == worker.life &&
            held->second.valid_until - options_.ticket_margin > now;
@@ -319,7 +333,7 @@
         double best_cost = std::numeric_limits<double>::max();
         if (left.empty() && within_limit(next, 1))
         {
-            for (worker_record* worker : open_workers(next.queue->service))
+            for (worker_record* worker : next.round->open)
             {
                 if (!usable(*worker, next) || !has_room(*worker, next) ||
                     !has_ticket(*worker, next, now))
@@ -359,7 +373,7 @@
     }
     std::vector<worker_record*> open;
     std::set<std::string> racks;
-    for (worker_record* worker : open_workers(next.queue->service))
+    for (worker_record* worker : next.round->open)
     {
         if (usable(*worker, next) && has_ticket(*worker, next, now))
         {
@@ -468,7 +482,7 @@
     start.run = run;
     start.payload = next.job->submission.spec.payload;
     start.checkpoint = next.spec->checkpoints ? task.checkpoint : "";
-    const auto held = next.record->tickets.find(worker.listing.worker);
+    const auto held = next.record->tickets.find(worker.number);
     if (next.queue->tickets && held != next.record->tickets.end())
     {
         start.ticket = held->second.text;
@@ -476,19 +490,23 @@
     orders.push_back(std::move(start));
 }
 
+// Keeps the worker with the most room free from the steps behind this one.
 void fleet::reserve(const candidate& next)
 {
-    const base::service_id& service = next.queue->service;
-    const auto& members = open_workers(service);
+    service_round& round = *next.round;
+    if (!within_limit(next, 1) ||
+        static_cast<double>(round.kept + 1) >
+            options_.reserved_part * static_cast<double>(round.open.size()))
+    {
+        return;
+    }
     worker_record* best = nullptr;
     base::resources best_free;
-    for (worker_record* worker : members)
+    for (worker_record* worker : round.open)
     {
-        const bool allowed =
-            !next.queue->tickets ||
-            next.record->tickets.count(worker->listing.worker) != 0;
-        if (!allowed || reserved_.count(worker->listing.worker) != 0 ||
-            !usable(*worker, next) ||
+        const bool allowed = !next.queue->tickets ||
+                             next.record->tickets.contains(worker->number);
+        if (!allowed || worker->kept_for != nullptr || !usable(*worker, next) ||
             !next.spec->need.fits_in(worker->listing.capacity))
         {
             continue;
@@ -502,13 +520,10 @@
             best_free = free;
         }
     }
-    std::size_t& count = reservations_[service];
-    if (best != nullptr &&
-        static_cast<double>(count + 1) <=
-            options_.reserved_part * static_cast<double>(members.size()))
+    if (best != nullptr)
     {
-        ++count;
-        reserved_[best->listing.worker] = next.key;
+        ++round.kept;
+        best->kept_for = next.record;
     }
 }
 
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -244,14 +244,4 @@
     }
 }
 
-bool fleet::blocked(const job_record& job,
-                    const base::service_id& service) const
-{
-    if (!job.inherited)
-    {
-        return false;
-    }
-    return unsettled_.count(service) != 0;
-}
-
 } // namespace coltsfootrack::fleet
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -43,24 +43,24 @@
     {
         return;
     }
-    const auto life_of = [this](const base::worker_id& id)
-    {
-        const auto found = workers_.find(id);
-        return found == workers_.end() ? 0 : found->second.life;
-    };
     for (const base::worker_id& id : asked)
     {
-        step->refused[id] = life_of(id);
+        const auto worker = workers_.find(id);
+        if (worker != workers_.end())
+        {
+            step->refused[worker->second.number] = worker->second.life;
+            step->tickets.erase(worker->second.number);
+        }
     }
     for (const ticket_grant& grant : *grants)
     {
-        step->refused.erase(grant.worker);
-        step->tickets[grant.worker] = {life_of(grant.worker), grant.ticket,
-                                       valid_until};
-    }
-    for (const auto& [id, life] : step->refused)
-    {
-        step->tickets.erase(id);
+        const auto worker = workers_.find(grant.worker);
+        if (worker != workers_.end())
+        {
+            step->refused.erase(worker->second.number);
+            step->tickets[worker->second.number] = {worker->second.life,
+                                                    grant.ticket, valid_until};
+        }
     }
 }
 
@@ -76,22 +76,21 @@
     bool any_room = false;
     bool good_room = false;
     bool any_good = false;
-    for (const worker_record* entry : open_workers(next.queue->service))
+    for (const worker_record* entry : next.round->open)
     {
         const worker_record& worker = *entry;
-        const base::worker_id& id = worker.listing.worker;
         if (!usable(worker, next) ||
             !next.spec->need.fits_in(worker.listing.capacity))
         {
             continue;
         }
-        const auto refused = next.record->refused.find(id);
+        const auto refused = next.record->refused.find(worker.number);
         if (refused != next.record->refused.end() &&
             refused->second == worker.life)
         {
             continue;
         }
-        const auto held = next.record->tickets.find(id);
+        const auto held = next.record->tickets.find(worker.number);
         const bool good = held != next.record->tickets.end() &&
                           held->second.life == worker.life;
         const bool room = has_room(worker, next);
@@ -140,7 +139,8 @@
         {
             return;
         }
-        if (!next.queue->tickets || !within_limit(next, 1) ||
+        if (!next.queue->tickets || !next.considered ||
+            !within_limit(next, 1) ||
             (next.record->asking &&
              now - next.record->asked_at <
                  next.queue->tickets->decide_time + answer_slack))
@@ -154,17 +154,16 @@
         }
         bool fresh = false;
         bool room = false;
-        for (const worker_record* entry : open_workers(next.queue->service))
+        for (const worker_record* entry : next.round->open)
         {
             const worker_record& worker = *entry;
-            const base::worker_id& id = worker.listing.worker;
             if (!usable(worker, next))
             {
                 continue;
             }
             const bool ticket = has_ticket(worker, next, now);
             const bool fits = has_room(worker, next);
-            const auto refused = next.record->refused.find(id);
+            const auto refused = next.record->refused.find(worker.number);
             const bool may = refused == next.record->refused.end() ||
                              refused->second != worker.life;
             fresh = fresh || ticket;
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -19,10 +19,10 @@
     const auto found = workers_.find(listing.worker);
     if (found == workers_.end())
     {
-        workers_.emplace(
-            listing.worker,
-            worker_record(
-                listing, worker_lease(options_.lease, options_.longest_lease)));
+        worker_record added(
+            listing, worker_lease(options_.lease, options_.longest_lease));
+        added.number = next_worker_number_++;
+        workers_.emplace(listing.worker, std::move(added));
         base::log(base::log_level::info, log_part,
                   "Worker listed. worker={} service={} address={} leaving={}",
                   listing.worker.text(), listing.service.text(),
@@ -470,7 +470,7 @@
         return;
     }
     mark_changed(job);
-    const queue_policy* queue = queue_of(job);
+    const queue_policy* queue = job.queue;
     if (queue != nullptr &&
         static_cast<int>(task.failures.size()) >= queue->max_attempts)
     {
@@ -595,7 +595,7 @@
     }
     if (outcome == order_outcome::bad_ticket)
     {
-        step->tickets.erase(id);
+        step->tickets.erase(worker.number);
     }
     else if (outcome == order_outcome::old_run)
     {
--- a/test/fleet/fleet_test.cpp
+++ b/test/fleet/fleet_test.cpp
@@ -57,6 +57,7 @@
     CPPUNIT_TEST(leaving_worker_gets_no_task);
     CPPUNIT_TEST(restarted_worker_has_lost_its_runs);
     CPPUNIT_TEST(step_with_tickets_asks_and_starts_on_good_workers);
+    CPPUNIT_TEST(tickets_belong_to_their_workers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -460,6 +461,42 @@
         CPPUNIT_ASSERT(f.starts[0].worker == base::worker_id("v"));
         CPPUNIT_ASSERT_EQUAL(std::string("ticket"), f.starts[0].ticket);
     }
+
+    // Guards against tickets of one worker that are taken for those of
+    // another, and against asking again for workers that may not run a step.
+    void tickets_belong_to_their_workers()
+    {
+        fleet_fixture f;
+        ticket_policy policy;
+        policy.valid_for = milliseconds(1500);
+        f.queue_.tickets = policy;
+        f.apply();
+        for (const char* id : {"a", "b", "c", "d"})
+        {
+            f.add_worker(id, 1000);
+            f.report(id);
+        }
+        f.add_job("j", {fleet_fixture::step(3, 1000)});
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, f.asks.at(0).workers.size());
+        f.fleet_.on_tickets(
+            f.asks[0].step, f.asks[0].workers,
+            std::vector<ticket_grant>{{base::worker_id("b"), "ticket-b"},
+                                      {base::worker_id("d"), "ticket-d"}},
+            f.now_ + policy.valid_for);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("ticket-" + f.starts[0].worker.text()),
+                             f.starts[0].ticket);
+        CPPUNIT_ASSERT_EQUAL(std::string("ticket-" + f.starts[1].worker.text()),
+                             f.starts[1].ticket);
+        f.pass(milliseconds(2000));
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.asks.size());
+        CPPUNIT_ASSERT(f.asks[1].workers ==
+                       (std::vector<base::worker_id>{base::worker_id("b"),
+                                                     base::worker_id("d")}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
