Relay jobs through peers, and refuse at once while the store is silent

Ruled out: the workers, which were free.

Change: a daemon that the store refuses, or does not answer at all, passes the job to the peer that the store answered last. An insert is unknown after one transaction without an answer; until the next answer one insert finds out and the others are refused at once.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -4,6 +4,7 @@
 target_link_libraries(coltsfootrack-test-main PUBLIC
     coltsfootrack PkgConfig::CPPUNIT rapidcheck)
 
+add_custom_target(unit-tests)
 foreach(part base config coordination placement routing wire http store
         daemon cli jobs fleet cell platform)
     file(GLOB sources CONFIGURE_DEPENDS test/${part}/*.cpp)
@@ -27,6 +28,7 @@
             target_sources(test-cli PRIVATE ${tool})
             target_include_directories(test-cli PRIVATE src)
         endif()
+        add_dependencies(unit-tests test-${part})
         add_test(NAME ${part} COMMAND test-${part})
         set_tests_properties(${part} PROPERTIES
             TIMEOUT 300 WORKING_DIRECTORY ${CMAKE_BINARY_DIR})
--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -112,6 +112,13 @@
         state_callback done;
     };
 
+    struct relay
+    {
+        status_callback done;
+        // The local attempt may have been carried out.
+        bool uncertain = false;
+    };
+
     struct ticket_question
     {
         base::daemon_id peer;
@@ -134,6 +141,9 @@
     void handle(const base::daemon_id& peer, const wire::ticket_query& m);
     void handle(const base::daemon_id& peer, const wire::ticket_answer& m);
 
+    void handle(const base::daemon_id& peer, const wire::relay_request& m);
+    void handle(const base::daemon_id& peer, const wire::relay_answer& m);
+
     template <class Other>
     void handle(const base::daemon_id& /*peer*/, const Other& /*message*/)
     {
@@ -151,6 +161,15 @@
         const fleet::ticket_order& next,
         std::function<void(std::optional<std::vector<fleet::ticket_grant>>)>
             done);
+    void store_job(const base::job_id& id, const std::string& row, bool relayed,
+                   status_callback done);
+    void store_cancel(const base::job_id& id, bool relayed,
+                      status_callback done);
+    void write_cancel(const base::job_id& id, bool relayed,
+                      base::time_point sent, status_callback done);
+    void relay_or_fail(const base::job_id& id, const std::string& row,
+                       bool uncertain, status_callback done);
+    void end_relay(std::uint64_t nonce, const std::string& error);
     void state_from_store(const base::job_id& id, state_callback done);
     void note_store(bool answered, std::chrono::milliseconds delay);
     void publish_waiting(const std::map<std::string, int>& counts);
@@ -170,9 +189,11 @@
     std::map<base::daemon_id, wire::peer_address> members_;
     std::map<std::uint64_t, question> questions_;
     std::map<std::uint64_t, ticket_question> ticket_questions_;
+    std::map<std::uint64_t, relay> relays_;
     std::uint64_t next_nonce_ = 1;
     bool claiming_ = false;
     bool store_up_ = false;
+    base::time_point store_answered_at_;
     mutable std::mutex mutex_;
     published published_;
     std::unique_ptr<wire::peer_links> links_;
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -50,9 +50,11 @@
     milliseconds step_pause{8};
     // And at least this often.
     milliseconds step_period{50};
-    // A submission that the store does not answer is given up after this; the
-    // platform's callers wait 3 s.
-    milliseconds submit_limit{2300};
+    // A submission that was not sent to the store by then is refused.
+    milliseconds submit_limit{1000};
+    // A peer answers for a job that it was asked to store within this time: a
+    // call of the store, and the way there and back.
+    milliseconds relay_limit{1300};
     // The leader answers a question about a job within this time, or the store
     // is asked.
     milliseconds query_limit{400};
--- a/include/coltsfootrack/cell/election_options.hpp
+++ b/include/coltsfootrack/cell/election_options.hpp
@@ -25,6 +25,9 @@
     milliseconds second_hand{700};
     // A peer whose status is older does not count as a candidate.
     milliseconds candidate_age{900};
+    // A peer that the store answered within this time takes work for one that
+    // it refuses: a little more than a read of changes waits.
+    milliseconds relay_age{1800};
     // Each better candidate gets this long to go first.
     milliseconds rank_pause{200};
     // Delays of the store are compared in steps of this, so that daemons of one
--- a/include/coltsfootrack/cell/leader_election.hpp
+++ b/include/coltsfootrack/cell/leader_election.hpp
@@ -66,6 +66,10 @@
     // The mean delay of the store.
     std::chrono::milliseconds store_delay() const;
 
+    // The peer that the store answered last, if it did lately; for work that
+    // the store refuses this daemon.
+    std::optional<base::daemon_id> peer_with_store(base::time_point now) const;
+
     // Whether the leader can be reached: itself, or over a connection that is
     // up.
     bool leader_reachable() const;
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -35,14 +35,18 @@
 // Writes rows of one part of the store, with one transaction in flight and all
 // waiting writes in the next one (group commit).
 //
-// A write whose transaction is not answered is sent again under the same
+// An update whose transaction is not answered is sent again under the same
 // conditions. If the first one is applied meanwhile, the repeated one finds its
-// own value and counts as stored; if it is not, it can no longer be, once the
-// repeated one is.
+// own value; if it is not, it can no longer be, once the repeated one is.
 //
 // The class does no input or output: next() gives the transaction to send, and
 // on_result() takes its answer. Callbacks run inside these calls.
 //
+// Answers a store, or a part of one, that is down: an insert whose transaction
+// is not answered is unknown at once, so that its caller can ask elsewhere
+// under the same key. Until the next answer one insert at a time goes on, to
+// find out, and the others are refused at once instead of waiting for the same.
+//
 // Limits: an insert beyond max_waiting is refused at once. Updates are bounded
 // by the rows that the leader writes: one that waits is replaced by a newer one
 // of the same row.
@@ -66,8 +70,8 @@
     // have.
     void set_fence(std::optional<row_condition> fence);
 
-    // Writes a row that must not exist yet. The callback comes by the deadline
-    // and the timeout of one call.
+    // Writes a row that must not exist yet, with one transaction. It is refused
+    // if it was not sent by the deadline.
     void insert(const row_id& row, std::string value, base::time_point deadline,
                 callback done);
 
@@ -87,6 +91,12 @@
     // Gives up all updates, without callbacks.
     void drop_updates();
 
+    // The last transaction was refused or not answered.
+    bool doubtful() const
+    {
+        return doubtful_;
+    }
+
     bool idle() const
     {
         return waiting_.empty() && batch_.empty();
@@ -98,8 +108,6 @@
         row_id row;
         std::string value;
         bool is_insert = false;
-        // An attempt was not answered.
-        bool uncertain = false;
         // An update that was given up while it was in flight. Sent again, it
         // could write over the progress of a later leader.
         bool dropped = false;
@@ -119,6 +127,7 @@
     // The fence that the batch was sent under.
     std::optional<row_condition> batch_fence_;
     base::time_point not_before_;
+    bool doubtful_ = false;
 };
 
 } // namespace coltsfootrack::cell
--- a/include/coltsfootrack/wire/message.hpp
+++ b/include/coltsfootrack/wire/message.hpp
@@ -13,6 +13,8 @@
 #include <coltsfootrack/wire/job_notice.hpp>
 #include <coltsfootrack/wire/promise_answer.hpp>
 #include <coltsfootrack/wire/promise_request.hpp>
+#include <coltsfootrack/wire/relay_answer.hpp>
+#include <coltsfootrack/wire/relay_request.hpp>
 #include <coltsfootrack/wire/state_answer.hpp>
 #include <coltsfootrack/wire/state_query.hpp>
 #include <coltsfootrack/wire/ticket_answer.hpp>
@@ -31,7 +33,7 @@
                  freshness_query, freshness_answer, config_notice, job_notice,
                  usage_report, cell_status, catalogue_copy, job_copy,
                  cancel_notice, state_query, state_answer, ticket_query,
-                 ticket_answer>;
+                 ticket_answer, relay_request, relay_answer>;
 
 } // namespace coltsfootrack::wire
 
--- a/include/coltsfootrack/wire/message_type.hpp
+++ b/include/coltsfootrack/wire/message_type.hpp
@@ -28,12 +28,14 @@
     state_query,
     state_answer,
     ticket_query,
-    ticket_answer
+    ticket_answer,
+    relay_request,
+    relay_answer
 };
 
-// The number of types; ticket_answer is the last one.
+// The number of types; relay_answer is the last one.
 constexpr std::size_t message_type_count =
-    static_cast<std::size_t>(message_type::ticket_answer) + 1;
+    static_cast<std::size_t>(message_type::relay_answer) + 1;
 
 // The type of a message.
 message_type type_of(const message& value);
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -78,6 +78,12 @@
 struct TicketAnswer;
 struct TicketAnswerBuilder;
 
+struct RelayRequest;
+struct RelayRequestBuilder;
+
+struct RelayAnswer;
+struct RelayAnswerBuilder;
+
 struct Peer;
 struct PeerBuilder;
 
@@ -100,11 +106,13 @@
   StateAnswer = 15,
   TicketQuery = 16,
   TicketAnswer = 17,
+  RelayRequest = 18,
+  RelayAnswer = 19,
   MIN = NONE,
-  MAX = TicketAnswer
+  MAX = RelayAnswer
 };
 
-inline const Body (&EnumValuesBody())[18] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -123,13 +131,15 @@
     Body::StateQuery,
     Body::StateAnswer,
     Body::TicketQuery,
-    Body::TicketAnswer
+    Body::TicketAnswer,
+    Body::RelayRequest,
+    Body::RelayAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -148,13 +158,15 @@
     "StateAnswer",
     "TicketQuery",
     "TicketAnswer",
+    "RelayRequest",
+    "RelayAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::TicketAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RelayAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -231,6 +243,14 @@
   static const Body enum_value = Body::TicketAnswer;
 };
 
+template<> struct BodyTraits<coltsfootrack::wire::fb::RelayRequest> {
+  static const Body enum_value = Body::RelayRequest;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::RelayAnswer> {
+  static const Body enum_value = Body::RelayAnswer;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -1782,6 +1802,148 @@
       grants__);
 }
 
+struct RelayRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayRequestBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_JOB = 6,
+    VT_ROW = 8
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  const flatbuffers::String *row() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROW);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyOffsetRequired(verifier, VT_ROW) &&
+           verifier.VerifyString(row()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RelayRequestBuilder {
+  typedef RelayRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(RelayRequest::VT_NONCE, nonce, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(RelayRequest::VT_JOB, job);
+  }
+  void add_row(flatbuffers::Offset<flatbuffers::String> row) {
+    fbb_.AddOffset(RelayRequest::VT_ROW, row);
+  }
+  explicit RelayRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayRequest>(end);
+    fbb_.Required(o, RelayRequest::VT_JOB);
+    fbb_.Required(o, RelayRequest::VT_ROW);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    flatbuffers::Offset<flatbuffers::String> row = 0) {
+  RelayRequestBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
+  builder_.add_row(row);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RelayRequest> CreateRelayRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *job = nullptr,
+    const char *row = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto row__ = row ? _fbb.CreateString(row) : 0;
+  return coltsfootrack::wire::fb::CreateRelayRequest(
+      _fbb,
+      nonce,
+      job__,
+      row__);
+}
+
+struct RelayAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RelayAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_ERROR = 6
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  const flatbuffers::String *error() const {
+    return GetPointer<const flatbuffers::String *>(VT_ERROR);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyOffset(verifier, VT_ERROR) &&
+           verifier.VerifyString(error()) &&
+           verifier.EndTable();
+  }
+};
+
+struct RelayAnswerBuilder {
+  typedef RelayAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(RelayAnswer::VT_NONCE, nonce, 0);
+  }
+  void add_error(flatbuffers::Offset<flatbuffers::String> error) {
+    fbb_.AddOffset(RelayAnswer::VT_ERROR, error);
+  }
+  explicit RelayAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RelayAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RelayAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RelayAnswer> CreateRelayAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    flatbuffers::Offset<flatbuffers::String> error = 0) {
+  RelayAnswerBuilder builder_(_fbb);
+  builder_.add_nonce(nonce);
+  builder_.add_error(error);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<RelayAnswer> CreateRelayAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    const char *error = nullptr) {
+  auto error__ = error ? _fbb.CreateString(error) : 0;
+  return coltsfootrack::wire::fb::CreateRelayAnswer(
+      _fbb,
+      nonce,
+      error__);
+}
+
 struct Peer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -1846,6 +2008,12 @@
   const coltsfootrack::wire::fb::TicketAnswer *body_as_TicketAnswer() const {
     return body_type() == coltsfootrack::wire::fb::Body::TicketAnswer ? static_cast<const coltsfootrack::wire::fb::TicketAnswer *>(body()) : nullptr;
   }
+  const coltsfootrack::wire::fb::RelayRequest *body_as_RelayRequest() const {
+    return body_type() == coltsfootrack::wire::fb::Body::RelayRequest ? static_cast<const coltsfootrack::wire::fb::RelayRequest *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::RelayAnswer *body_as_RelayAnswer() const {
+    return body_type() == coltsfootrack::wire::fb::Body::RelayAnswer ? static_cast<const coltsfootrack::wire::fb::RelayAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1923,6 +2091,14 @@
   return body_as_TicketAnswer();
 }
 
+template<> inline const coltsfootrack::wire::fb::RelayRequest *Peer::body_as<coltsfootrack::wire::fb::RelayRequest>() const {
+  return body_as_RelayRequest();
+}
+
+template<> inline const coltsfootrack::wire::fb::RelayAnswer *Peer::body_as<coltsfootrack::wire::fb::RelayAnswer>() const {
+  return body_as_RelayAnswer();
+}
+
 struct PeerBuilder {
   typedef Peer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2028,6 +2204,14 @@
       auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::TicketAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RelayRequest: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::RelayRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RelayAnswer: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::RelayAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -153,36 +153,8 @@
                          const jobs::job_submission& job, status_callback done)
 {
     const std::string row = jobs::encode(job);
-    auto event = [this, id, row, done]
-    {
-        const auto finished = [this, id, row, done](write_status status)
-        {
-            switch (status)
-            {
-            case write_status::stored:
-                tell_leader(wire::job_copy{id, row});
-                done(absl::OkStatus());
-                return;
-            case write_status::exists:
-                done(absl::OkStatus());
-                return;
-            case write_status::refused:
-            case write_status::fenced:
-                done(base::make_error(base::error_kind::store_unavailable,
-                                      "the job was not stored"));
-                return;
-            case write_status::unknown:
-                break;
-            }
-            done(base::make_error(base::error_kind::outcome_unknown,
-                                  "the store did not answer"));
-        };
-        committers_[table_.part_of(id)].insert(
-            table_.job(id), row, clock_.now() + options_.submit_limit,
-            finished);
-        commit();
-    };
-    if (!loop_.try_post(std::move(event)))
+    if (!loop_.try_post([this, id, row, done]
+                        { store_job(id, row, false, done); }))
     {
         done(base::make_error(base::error_kind::overloaded,
                               "the event queue of this daemon is full"));
@@ -191,59 +163,7 @@
 
 void cell_daemon::cancel(const base::job_id& id, status_callback done)
 {
-    auto write = [this, id, done]
-    {
-        committers_[table_.part_of(id)].insert(
-            table_.cancel(id), "{}", clock_.now() + options_.submit_limit,
-            [this, id, done](write_status status)
-            {
-                if (status == write_status::stored ||
-                    status == write_status::exists)
-                {
-                    tell_leader(wire::cancel_notice{id});
-                    done(absl::OkStatus());
-                    return;
-                }
-                done(base::make_error(status == write_status::unknown
-                                          ? base::error_kind::outcome_unknown
-                                          : base::error_kind::store_unavailable,
-                                      "the cancellation was not stored"));
-            });
-        commit();
-    };
-    auto event = [this, id, done, write]
-    {
-        const base::time_point sent = clock_.now();
-        outside_.store.read_row(
-            table_.job(id),
-            [this, id, done, write, sent](read_result result)
-            {
-                loop_.post(
-                    [this, done, write, sent, result = std::move(result)]
-                    {
-                        note_store(result.status == read_status::ok,
-                                   std::chrono::duration_cast<
-                                       std::chrono::milliseconds>(clock_.now() -
-                                                                  sent));
-                        if (result.status != read_status::ok)
-                        {
-                            done(base::make_error(
-                                base::error_kind::store_unavailable,
-                                "the job cannot be looked up"));
-                        }
-                        else if (result.rows.empty())
-                        {
-                            done(base::make_error(base::error_kind::not_found,
-                                                  "no such job"));
-                        }
-                        else
-                        {
-                            write();
-                        }
-                    });
-            });
-    };
-    if (!loop_.try_post(std::move(event)))
+    if (!loop_.try_post([this, id, done] { store_cancel(id, false, done); }))
     {
         done(base::make_error(base::error_kind::overloaded,
                               "the event queue of this daemon is full"));
@@ -394,6 +314,7 @@
     if (answered)
     {
         election_.on_store_answer(delay, clock_.now());
+        store_answered_at_ = clock_.now();
     }
     if (answered != store_up_)
     {
--- /dev/null
+++ b/src/cell/cell_daemon_submit.cpp
@@ -0,0 +1,210 @@
+// How jobs and cancellations are stored: by this daemon, or, where the store
+// refuses it, by a peer.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/cell_daemon.hpp>
+
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "cell";
+
+absl::Status stored_status(write_status status)
+{
+    switch (status)
+    {
+    case write_status::stored:
+    case write_status::exists:
+        return absl::OkStatus();
+    case write_status::refused:
+    case write_status::fenced:
+        return base::make_error(base::error_kind::store_unavailable,
+                                "the store refused it");
+    case write_status::unknown:
+        break;
+    }
+    return base::make_error(base::error_kind::outcome_unknown,
+                            "the store did not answer");
+}
+
+} // namespace
+
+void cell_daemon::store_job(const base::job_id& id, const std::string& row,
+                            bool relayed, status_callback done)
+{
+    // A daemon that the store turns away need not find that out again.
+    if (!relayed && !store_up_ && election_.peer_with_store(clock_.now()))
+    {
+        relay_or_fail(id, row, false, std::move(done));
+        return;
+    }
+    const base::time_point sent = clock_.now();
+    committers_[table_.part_of(id)].insert(
+        table_.job(id), row, sent + options_.submit_limit,
+        [this, id, row, relayed, sent,
+         done = std::move(done)](write_status status)
+        {
+            if (status == write_status::stored)
+            {
+                tell_leader(wire::job_copy{id, row});
+            }
+            const absl::Status result = stored_status(status);
+            // Other calls were answered meanwhile, so this part of the store is
+            // down for the peers too.
+            const bool part_down = store_answered_at_ > sent;
+            if (result.ok() || relayed || part_down)
+            {
+                done(result);
+                return;
+            }
+            relay_or_fail(id, row, status == write_status::unknown, done);
+        });
+    commit();
+}
+
+void cell_daemon::store_cancel(const base::job_id& id, bool relayed,
+                               status_callback done)
+{
+    if (!relayed && !store_up_ && election_.peer_with_store(clock_.now()))
+    {
+        relay_or_fail(id, "", false, std::move(done));
+        return;
+    }
+    const base::time_point sent = clock_.now();
+    outside_.store.read_row(
+        table_.job(id),
+        [this, id, relayed, sent, done = std::move(done)](read_result result)
+        {
+            loop_.post(
+                [this, id, relayed, sent, done, result = std::move(result)]
+                {
+                    note_store(
+                        result.status == read_status::ok,
+                        std::chrono::duration_cast<std::chrono::milliseconds>(
+                            clock_.now() - sent));
+                    if (result.status != read_status::ok)
+                    {
+                        if (relayed)
+                        {
+                            done(stored_status(write_status::refused));
+                            return;
+                        }
+                        relay_or_fail(id, "", false, done);
+                    }
+                    else if (result.rows.empty())
+                    {
+                        done(base::make_error(base::error_kind::not_found,
+                                              "no such job"));
+                    }
+                    else
+                    {
+                        write_cancel(id, relayed, sent, done);
+                    }
+                });
+        });
+}
+
+void cell_daemon::write_cancel(const base::job_id& id, bool relayed,
+                               base::time_point sent, status_callback done)
+{
+    committers_[table_.part_of(id)].insert(
+        table_.cancel(id), "{}", clock_.now() + options_.submit_limit,
+        [this, id, relayed, sent, done = std::move(done)](write_status status)
+        {
+            const absl::Status result = stored_status(status);
+            if (result.ok())
+            {
+                tell_leader(wire::cancel_notice{id});
+            }
+            if (result.ok() || relayed || store_answered_at_ > sent)
+            {
+                done(result);
+                return;
+            }
+            relay_or_fail(id, "", status == write_status::unknown, done);
+        });
+    commit();
+}
+
+void cell_daemon::relay_or_fail(const base::job_id& id, const std::string& row,
+                                bool uncertain, status_callback done)
+{
+    const auto peer = election_.peer_with_store(clock_.now());
+    const std::uint64_t nonce = next_nonce_++;
+    if (!peer || !links_->send(*peer, wire::relay_request{nonce, id, row}))
+    {
+        done(stored_status(uncertain ? write_status::unknown
+                                     : write_status::refused));
+        return;
+    }
+    metrics_.count_event("relayed_to_peer");
+    base::log(base::log_level::info, log_part,
+              "Relayed to a peer. job={} peer={} cancel={} local_unknown={}",
+              id.text(), peer->text(), row.empty(), uncertain);
+    relays_[nonce] = {std::move(done), uncertain};
+    loop_.after(
+        options_.relay_limit,
+        [this, nonce]
+        {
+            end_relay(
+                nonce,
+                std::string(
+                    base::answer_of(base::error_kind::outcome_unknown).name));
+        });
+}
+
+void cell_daemon::end_relay(std::uint64_t nonce, const std::string& error)
+{
+    const auto found = relays_.find(nonce);
+    if (found == relays_.end())
+    {
+        return;
+    }
+    const relay ended = std::move(found->second);
+    relays_.erase(found);
+    if (error.empty())
+    {
+        ended.done(absl::OkStatus());
+        return;
+    }
+    const base::error_kind kind = base::kind_named(error);
+    // What the peer refused may still be stored by the attempt before it.
+    const bool refused = kind == base::error_kind::store_unavailable;
+    ended.done(base::make_error(
+        refused && ended.uncertain ? base::error_kind::outcome_unknown : kind,
+        "answered by a peer"));
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::relay_request& m)
+{
+    const auto reply = [this, peer, nonce = m.nonce](const absl::Status& status)
+    {
+        const std::string error =
+            status.ok()
+                ? std::string()
+                : std::string(base::answer_of(base::kind_of(status)).name);
+        links_->send(peer, wire::relay_answer{nonce, error});
+    };
+    if (m.row.empty())
+    {
+        store_cancel(m.job, true, reply);
+    }
+    else
+    {
+        store_job(m.job, m.row, true, reply);
+    }
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::relay_answer& m)
+{
+    end_relay(m.nonce, m.error);
+}
+
+} // namespace coltsfootrack::cell
--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -110,6 +110,26 @@
         static_cast<std::int64_t>(store_delay_ms_));
 }
 
+std::optional<base::daemon_id>
+leader_election::peer_with_store(base::time_point now) const
+{
+    std::optional<base::daemon_id> best;
+    std::chrono::milliseconds best_age = options_.relay_age;
+    for (const auto& [id, other] : peers_)
+    {
+        const bool usable = other.up && other.status &&
+                            !other.status->stopping &&
+                            now - other.status_at < options_.candidate_age &&
+                            other.status->store_age;
+        if (usable && *other.status->store_age < best_age)
+        {
+            best = id;
+            best_age = *other.status->store_age;
+        }
+    }
+    return best;
+}
+
 bool leader_election::leader_reachable() const
 {
     if (is_self())
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -16,7 +16,7 @@
 void row_committer::insert(const row_id& row, std::string value,
                            base::time_point deadline, callback done)
 {
-    if (waiting_.size() >= max_waiting)
+    if (waiting_.size() >= max_waiting || (doubtful_ && !idle()))
     {
         done(write_status::refused);
         return;
@@ -85,8 +85,7 @@
     }
     for (entry& late : expired)
     {
-        finish(late,
-               late.uncertain ? write_status::unknown : write_status::refused);
+        finish(late, write_status::refused);
     }
     if (waiting_.empty() || now < not_before_)
     {
@@ -138,21 +137,40 @@
                           bool uncertain)
 {
     not_before_ = now + retry_pause;
-    std::vector<entry> refused;
+    doubtful_ = true;
+    std::vector<entry> ended;
+    for (entry& next : waiting_)
+    {
+        if (next.is_insert)
+        {
+            ended.push_back(std::move(next));
+        }
+    }
+    waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(),
+                                  [](const entry& next)
+                                  { return next.is_insert; }),
+                   waiting_.end());
+    std::vector<entry> tried;
     for (auto it = batch.rbegin(); it != batch.rend(); ++it)
     {
-        it->uncertain = it->uncertain || uncertain;
-        // A caller learns at once of a refusal: the store has done nothing.
-        if (it->is_insert && !it->uncertain)
+        if (it->is_insert)
         {
-            refused.push_back(std::move(*it));
-            continue;
+            tried.push_back(std::move(*it));
         }
-        wait_again(std::move(*it));
+        else
+        {
+            wait_again(std::move(*it));
+        }
+    }
+    // Callers learn at once of a refusal, since nothing was done, and of an
+    // answer that did not come, since they may ask elsewhere.
+    for (entry& next : tried)
+    {
+        finish(next, uncertain ? write_status::unknown : write_status::refused);
     }
-    for (entry& ended : refused)
+    for (entry& next : ended)
     {
-        finish(ended, write_status::refused);
+        finish(next, write_status::refused);
     }
 }
 
@@ -187,6 +205,7 @@
     switch (result.status)
     {
     case transaction_status::committed:
+        doubtful_ = false;
         for (entry& stored : batch)
         {
             if (!stored.is_insert && !stored.dropped)
@@ -206,6 +225,7 @@
         retry(batch, now, true);
         return;
     case transaction_status::conflict:
+        doubtful_ = false;
         break;
     }
     const auto row_now = [&result](const row_id& id) -> const stored_row*
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -319,6 +319,21 @@
     return fields.result(std::move(value));
 }
 
+absl::StatusOr<message> read(const fb::RelayRequest& m)
+{
+    field_reader fields;
+    relay_request value;
+    value.nonce = m.nonce();
+    value.job = fields.id<base::job_id>(m.job(), "job");
+    value.row = m.row()->str();
+    return fields.result(std::move(value));
+}
+
+absl::StatusOr<message> read(const fb::RelayAnswer& m)
+{
+    return message(relay_answer{m.nonce(), text_of(m.error())});
+}
+
 } // namespace
 
 absl::StatusOr<message> decode(std::string_view bytes)
@@ -373,6 +388,10 @@
         return read(*peer.body_as_TicketQuery(), bytes.size());
     case fb::Body::TicketAnswer:
         return read(*peer.body_as_TicketAnswer(), bytes.size());
+    case fb::Body::RelayRequest:
+        return read(*peer.body_as_RelayRequest());
+    case fb::Body::RelayAnswer:
+        return read(*peer.body_as_RelayAnswer());
     default:
         return protocol_error("unknown message type");
     }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -216,6 +216,21 @@
             fb::Body::TicketAnswer,
             fb::CreateTicketAnswer(builder, m.nonce, m.answered, list).Union()};
     }
+
+    encoded_body operator()(const relay_request& m) const
+    {
+        const auto job = text(builder, m.job);
+        const auto row = builder.CreateString(m.row);
+        return {fb::Body::RelayRequest,
+                fb::CreateRelayRequest(builder, m.nonce, job, row).Union()};
+    }
+
+    encoded_body operator()(const relay_answer& m) const
+    {
+        const auto error = builder.CreateString(m.error);
+        return {fb::Body::RelayAnswer,
+                fb::CreateRelayAnswer(builder, m.nonce, error).Union()};
+    }
 };
 
 } // namespace
