Spread jobs over 16 parts and group progress

Ruled out: the store's limits on calls.

Tests: insert_behind_slow_transaction_is_refused_in_time, update_that_is_not_urgent_waits_for_others.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -25,9 +25,11 @@
     std::string address;
     std::uint16_t peer_port = 0;
 
-    // The parts that jobs are spread over. Each takes 200 transactions a second
-    // on the platform, and each costs a write and three reads at a takeover.
-    std::size_t job_parts = 4;
+    // The parts that jobs are spread over. A part takes one transaction at a
+    // time, which lasts half a second while the store is slow, so few parts
+    // make callers of all daemons queue; each costs a write and three reads at
+    // a takeover.
+    std::size_t job_parts = 16;
 
     fleet::fleet_options fleet;
 
@@ -52,6 +54,8 @@
     milliseconds step_period{50};
     // A submission that was not sent to the store by then is refused.
     milliseconds submit_limit{1000};
+    // A peer is asked only if the local attempt took less: callers wait 3 s.
+    milliseconds relay_before{800};
     // A peer answers for a job that it was asked to store within this time: a
     // call of the store, and the way there and back.
     milliseconds relay_limit{1300};
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -66,19 +66,29 @@
     // attempt waits this long.
     static constexpr std::chrono::milliseconds retry_pause{150};
 
+    // A store that is slow still answers within a second; the callers wait 3 s.
+    static constexpr std::chrono::milliseconds refuse_after{1000};
+
+    // Updates that are not urgent wait this long for others of their part. Each
+    // transaction is a call that the platform charges for, and a worker is
+    // renewed when the ends that it listed are stored.
+    static constexpr std::chrono::milliseconds group_delay{50};
+
     // A row that every transaction depends on, with the version that it must
     // have.
     void set_fence(std::optional<row_condition> fence);
 
     // Writes a row that must not exist yet, with one transaction. It is refused
     // if it was not sent by the deadline.
-    void insert(const row_id& row, std::string value, base::time_point deadline,
-                callback done);
+    void insert(const row_id& row, std::string value, base::time_point now,
+                base::time_point deadline, callback done);
 
     // Writes a row that only the holder of the fence writes, whatever it held.
     // The value replaces one that waits, whose callback then comes with this
-    // one. Without a fence it is refused as fenced.
-    void update(const row_id& row, std::string value, callback done);
+    // one. An update that is not urgent may wait for group_delay. Without a
+    // fence it is refused as fenced.
+    void update(const row_id& row, std::string value, bool urgent,
+                base::time_point now, callback done);
 
     // The version of a row as read, for the next update of it.
     void set_version(const row_id& row, std::uint64_t version);
@@ -111,12 +121,17 @@
         // An update that was given up while it was in flight. Sent again, it
         // could write over the progress of a later leader.
         bool dropped = false;
+        // Inserts are refused after this.
         base::time_point deadline;
+        // Updates are due at this time.
+        base::time_point due;
         std::vector<callback> done;
     };
 
     static void finish(entry& ended, write_status status);
     void wait_again(entry next);
+    void refuse_waiting();
+    bool stuck(base::time_point now) const;
     void retry(std::vector<entry>& batch, base::time_point now, bool uncertain);
     bool settle_conflict(entry& next, const stored_row* current);
 
@@ -126,6 +141,7 @@
     std::vector<entry> batch_;
     // The fence that the batch was sent under.
     std::optional<row_condition> batch_fence_;
+    base::time_point sent_at_;
     base::time_point not_before_;
     bool doubtful_ = false;
 };
--- a/include/coltsfootrack/fleet/order.hpp
+++ b/include/coltsfootrack/fleet/order.hpp
@@ -60,6 +60,8 @@
     // Rises with each change of the job; see fleet::on_saved.
     std::uint64_t change = 0;
     std::string text;
+    // Someone waits for it: the job has reached a final state.
+    bool urgent = false;
 };
 
 using order =
--- a/src/cell/cell_daemon_submit.cpp
+++ b/src/cell/cell_daemon_submit.cpp
@@ -45,7 +45,7 @@
     }
     const base::time_point sent = clock_.now();
     committers_[table_.part_of(id)].insert(
-        table_.job(id), row, sent + options_.submit_limit,
+        table_.job(id), row, sent, sent + options_.submit_limit,
         [this, id, row, relayed, sent,
          done = std::move(done)](write_status status)
         {
@@ -57,7 +57,8 @@
             // Other calls were answered meanwhile, so this part of the store is
             // down for the peers too.
             const bool part_down = store_answered_at_ > sent;
-            if (result.ok() || relayed || part_down)
+            const bool late = clock_.now() - sent > options_.relay_before;
+            if (result.ok() || relayed || part_down || late)
             {
                 done(result);
                 return;
@@ -113,7 +114,8 @@
                                base::time_point sent, status_callback done)
 {
     committers_[table_.part_of(id)].insert(
-        table_.cancel(id), "{}", clock_.now() + options_.submit_limit,
+        table_.cancel(id), "{}", clock_.now(),
+        clock_.now() + options_.submit_limit,
         [this, id, relayed, sent, done = std::move(done)](write_status status)
         {
             const absl::Status result = stored_status(status);
@@ -121,7 +123,8 @@
             {
                 tell_leader(wire::cancel_notice{id});
             }
-            if (result.ok() || relayed || store_answered_at_ > sent)
+            const bool late = clock_.now() - sent > options_.relay_before;
+            if (result.ok() || relayed || late || store_answered_at_ > sent)
             {
                 done(result);
                 return;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -284,7 +284,7 @@
 {
     const std::size_t part = table_.part_of(next.job);
     hooks_.committer(part).update(
-        table_.progress(next.job), next.text,
+        table_.progress(next.job), next.text, next.urgent, clock_.now(),
         [this, alive = std::weak_ptr<bool>(alive_), job = next.job,
          change = next.change](write_status status)
         {
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -13,10 +13,16 @@
     fence_ = std::move(fence);
 }
 
+bool row_committer::stuck(base::time_point now) const
+{
+    return !batch_.empty() && now - sent_at_ > refuse_after;
+}
+
 void row_committer::insert(const row_id& row, std::string value,
-                           base::time_point deadline, callback done)
+                           base::time_point now, base::time_point deadline,
+                           callback done)
 {
-    if (waiting_.size() >= max_waiting || (doubtful_ && !idle()))
+    if (waiting_.size() >= max_waiting || stuck(now) || (doubtful_ && !idle()))
     {
         done(write_status::refused);
         return;
@@ -30,8 +36,10 @@
     waiting_.push_back(std::move(added));
 }
 
-void row_committer::update(const row_id& row, std::string value, callback done)
+void row_committer::update(const row_id& row, std::string value, bool urgent,
+                           base::time_point now, callback done)
 {
+    const base::time_point due = urgent ? now : now + group_delay;
     if (!fence_)
     {
         done(write_status::fenced);
@@ -42,6 +50,7 @@
         if (!other.is_insert && other.row == row)
         {
             other.value = std::move(value);
+            other.due = std::min(other.due, due);
             other.done.push_back(std::move(done));
             return;
         }
@@ -49,6 +58,7 @@
     entry added;
     added.row = row;
     added.value = std::move(value);
+    added.due = due;
     added.done.push_back(std::move(done));
     waiting_.push_back(std::move(added));
 }
@@ -70,6 +80,10 @@
 {
     if (!batch_.empty())
     {
+        if (stuck(now))
+        {
+            refuse_waiting();
+        }
         return std::nullopt;
     }
     std::vector<entry> expired;
@@ -87,10 +101,14 @@
     {
         finish(late, write_status::refused);
     }
-    if (waiting_.empty() || now < not_before_)
+    const bool any_due =
+        std::any_of(waiting_.begin(), waiting_.end(),
+                    [now](const entry& next) { return next.due <= now; });
+    if (!any_due || now < not_before_)
     {
         return std::nullopt;
     }
+    sent_at_ = now;
     transaction group;
     bool fenced = false;
     while (!waiting_.empty() && batch_.size() < max_batch)
@@ -133,11 +151,9 @@
     newer->done.insert(newer->done.begin(), next.done.begin(), next.done.end());
 }
 
-void row_committer::retry(std::vector<entry>& batch, base::time_point now,
-                          bool uncertain)
+// Refuses the inserts that were not sent.
+void row_committer::refuse_waiting()
 {
-    not_before_ = now + retry_pause;
-    doubtful_ = true;
     std::vector<entry> ended;
     for (entry& next : waiting_)
     {
@@ -150,6 +166,17 @@
                                   [](const entry& next)
                                   { return next.is_insert; }),
                    waiting_.end());
+    for (entry& next : ended)
+    {
+        finish(next, write_status::refused);
+    }
+}
+
+void row_committer::retry(std::vector<entry>& batch, base::time_point now,
+                          bool uncertain)
+{
+    not_before_ = now + retry_pause;
+    doubtful_ = true;
     std::vector<entry> tried;
     for (auto it = batch.rbegin(); it != batch.rend(); ++it)
     {
@@ -168,10 +195,7 @@
     {
         finish(next, uncertain ? write_status::unknown : write_status::refused);
     }
-    for (entry& next : ended)
-    {
-        finish(next, write_status::refused);
-    }
+    refuse_waiting();
 }
 
 // Whether the entry is settled by the row as it is now; otherwise it is sent
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -347,7 +347,8 @@
         if (job != nullptr && job->change_ordered < job->change)
         {
             job->change_ordered = job->change;
-            orders.push_back(save_order{id, job->change, progress_text(*job)});
+            orders.push_back(save_order{id, job->change, progress_text(*job),
+                                        job->final_state()});
         }
     }
     dirty_.clear();
--- a/test/cell/row_committer_test.cpp
+++ b/test/cell/row_committer_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(insert_whose_answer_was_lost_is_unknown_and_found_again);
     CPPUNIT_TEST(insert_refused_by_store_is_refused_at_once);
     CPPUNIT_TEST(insert_while_store_is_silent_is_refused_at_once);
+    CPPUNIT_TEST(insert_behind_slow_transaction_is_refused_in_time);
+    CPPUNIT_TEST(update_that_is_not_urgent_waits_for_others);
     CPPUNIT_TEST(insert_beyond_limit_is_refused);
     CPPUNIT_TEST(update_after_lost_answer_keeps_newest_value);
     CPPUNIT_TEST(update_dropped_in_flight_is_not_sent_again);
@@ -62,7 +64,7 @@
         row_committer committer;
         naive_store store;
         std::vector<write_status> seen;
-        committer.insert(progress_row, "1", start + milliseconds(100),
+        committer.insert(progress_row, "1", start, start + milliseconds(100),
                          record(seen));
         const auto group = committer.next(start);
         CPPUNIT_ASSERT(group);
@@ -78,7 +80,7 @@
         naive_store store;
         store.put(progress_row, "other");
         std::vector<write_status> seen;
-        committer.insert(progress_row, "1", start + milliseconds(100),
+        committer.insert(progress_row, "1", start, start + milliseconds(100),
                          record(seen));
         committer.on_result(store.apply(*committer.next(start)), start);
         CPPUNIT_ASSERT(seen == std::vector{write_status::exists});
@@ -92,13 +94,13 @@
         row_committer committer;
         naive_store store;
         std::vector<write_status> seen;
-        committer.insert(progress_row, "1", start + milliseconds(5000),
+        committer.insert(progress_row, "1", start, start + milliseconds(5000),
                          record(seen));
         store.apply(*committer.next(start));
         committer.on_result(answer(transaction_status::unknown), start);
         CPPUNIT_ASSERT(seen == std::vector{write_status::unknown});
         const auto later = start + milliseconds(1000);
-        committer.insert(progress_row, "1", later + milliseconds(5000),
+        committer.insert(progress_row, "1", later, later + milliseconds(5000),
                          record(seen));
         committer.on_result(store.apply(*committer.next(later)), later);
         CPPUNIT_ASSERT(seen.back() == write_status::stored);
@@ -108,7 +110,7 @@
     {
         row_committer committer;
         std::vector<write_status> seen;
-        committer.insert(progress_row, "1", start + milliseconds(5000),
+        committer.insert(progress_row, "1", start, start + milliseconds(5000),
                          record(seen));
         CPPUNIT_ASSERT(committer.next(start));
         committer.on_result(answer(transaction_status::refused), start);
@@ -122,22 +124,22 @@
     {
         row_committer committer;
         std::vector<write_status> seen;
-        committer.insert({"jobs", "p0", "a"}, "1", start + milliseconds(5000),
-                         record(seen));
+        committer.insert({"jobs", "p0", "a"}, "1", start,
+                         start + milliseconds(5000), record(seen));
         CPPUNIT_ASSERT(committer.next(start));
-        committer.insert({"jobs", "p0", "b"}, "1", start + milliseconds(5000),
-                         record(seen));
+        committer.insert({"jobs", "p0", "b"}, "1", start,
+                         start + milliseconds(5000), record(seen));
         committer.on_result(answer(transaction_status::unknown), start);
         // The second was not sent, so it certainly does not run.
         CPPUNIT_ASSERT(seen == (std::vector{write_status::unknown,
                                             write_status::refused}));
         // One insert finds out whether the store is back.
         const auto later = start + milliseconds(1000);
-        committer.insert({"jobs", "p0", "c"}, "1", later + milliseconds(5000),
-                         record(seen));
+        committer.insert({"jobs", "p0", "c"}, "1", later,
+                         later + milliseconds(5000), record(seen));
         CPPUNIT_ASSERT(committer.next(later));
-        committer.insert({"jobs", "p0", "d"}, "1", later + milliseconds(5000),
-                         record(seen));
+        committer.insert({"jobs", "p0", "d"}, "1", later,
+                         later + milliseconds(5000), record(seen));
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.size());
         CPPUNIT_ASSERT(seen.back() == write_status::refused);
         transaction_result stored = answer(transaction_status::committed);
@@ -147,13 +149,53 @@
         CPPUNIT_ASSERT(!committer.doubtful());
     }
 
+    // Guards against callers that wait behind a transaction which is not
+    // answered, and for what was sent in it.
+    void insert_behind_slow_transaction_is_refused_in_time()
+    {
+        row_committer committer;
+        std::vector<write_status> seen;
+        committer.insert({"jobs", "p0", "a"}, "1", start,
+                         start + milliseconds(5000), record(seen));
+        CPPUNIT_ASSERT(committer.next(start));
+        committer.insert({"jobs", "p0", "b"}, "1", start,
+                         start + milliseconds(5000), record(seen));
+        committer.next(start + milliseconds(900));
+        CPPUNIT_ASSERT(seen.empty());
+        const auto later = start + milliseconds(1100);
+        committer.next(later);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::refused});
+        committer.insert({"jobs", "p0", "c"}, "1", later,
+                         later + milliseconds(5000), record(seen));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, seen.size());
+        transaction_result stored = answer(transaction_status::committed);
+        stored.version = 9;
+        committer.on_result(stored, later);
+        CPPUNIT_ASSERT(seen.back() == write_status::stored);
+    }
+
+    void update_that_is_not_urgent_waits_for_others()
+    {
+        row_committer committer;
+        committer.set_fence(row_condition{fence_row, 1});
+        std::vector<write_status> seen;
+        committer.update({"progress", "p0", "a"}, "1", false, start,
+                         record(seen));
+        CPPUNIT_ASSERT(!committer.next(start + milliseconds(10)));
+        committer.update({"progress", "p0", "b"}, "1", true,
+                         start + milliseconds(20), record(seen));
+        const auto group = committer.next(start + milliseconds(20));
+        CPPUNIT_ASSERT(group);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group->writes.size());
+    }
+
     void insert_beyond_limit_is_refused()
     {
         row_committer committer;
         std::vector<write_status> seen;
         for (std::size_t i = 0; i <= row_committer::max_waiting; ++i)
         {
-            committer.insert({"jobs", "p0", std::to_string(i)}, "1",
+            committer.insert({"jobs", "p0", std::to_string(i)}, "1", start,
                              start + milliseconds(1000), record(seen));
         }
         CPPUNIT_ASSERT(seen == std::vector{write_status::refused});
@@ -168,9 +210,9 @@
         committer.set_fence(
             row_condition{fence_row, store.put(fence_row, "1")});
         std::vector<write_status> seen;
-        committer.update(progress_row, "1", record(seen));
+        committer.update(progress_row, "1", true, start, record(seen));
         CPPUNIT_ASSERT(committer.next(start));
-        committer.update(progress_row, "2", record(seen));
+        committer.update(progress_row, "2", true, start, record(seen));
         committer.on_result(answer(transaction_status::unknown), start);
         const auto later = start + milliseconds(1000);
         const auto group = committer.next(later);
@@ -192,7 +234,7 @@
             row_committer committer;
             committer.set_fence(row_condition{fence_row, 1});
             std::vector<write_status> seen;
-            committer.update(progress_row, "1", record(seen));
+            committer.update(progress_row, "1", true, start, record(seen));
             CPPUNIT_ASSERT(committer.next(start));
             committer.drop_updates();
             transaction_result result = answer(status);
@@ -210,7 +252,7 @@
         const std::uint64_t version = store.put(fence_row, "1");
         committer.set_fence(row_condition{fence_row, version});
         std::vector<write_status> seen;
-        committer.update(progress_row, "1", record(seen));
+        committer.update(progress_row, "1", true, start, record(seen));
         store.put(fence_row, "2");
         committer.on_result(store.apply(*committer.next(start)), start);
         CPPUNIT_ASSERT(seen == std::vector{write_status::fenced});
@@ -222,7 +264,7 @@
     {
         row_committer committer;
         std::vector<write_status> seen;
-        committer.update(progress_row, "1", record(seen));
+        committer.update(progress_row, "1", true, start, record(seen));
         CPPUNIT_ASSERT(seen == std::vector{write_status::fenced});
         CPPUNIT_ASSERT(committer.idle());
     }
@@ -285,7 +327,7 @@
                 {
                     const int value = ++each->value;
                     each->committer.update(
-                        progress_row, std::to_string(value),
+                        progress_row, std::to_string(value), chance(50), now,
                         [&reported, value](write_status status)
                         {
                             if (status == write_status::stored)
