--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -25,6 +25,10 @@
     std::string address;
     std::uint16_t peer_port = 0;
 
+    // The processor of the VM, in thousandths of a core; 0 if not known. The
+    // leader needs most of all.
+    std::uint32_t processor_milli = 0;
+
     // The parts that jobs are spread over. A part takes one transaction at a
     // time, which lasts half a second while the store is slow, so few parts
     // make callers of all daemons queue; each costs a write and three reads at
--- a/include/coltsfootrack/cell/leader_election.hpp
+++ b/include/coltsfootrack/cell/leader_election.hpp
@@ -20,13 +20,15 @@
 // write, and stores and workers refuse a lower epoch. It only has to be quick,
 // and to avoid changes that are not needed. A leader that is lost, stops, or
 // cannot reach a store which others reach is followed by the daemon with the
-// shortest way to the store; the others wait their turn.
+// shortest way to the store, and among those by the largest VM; the others wait
+// their turn.
 //
 // Thread safety: none.
 class leader_election
 {
 public:
     leader_election(base::daemon_id self, std::uint64_t incarnation,
+                    std::uint32_t processor_milli,
                     const election_options& options);
 
     // The row was read or written.
@@ -86,11 +88,12 @@
     bool vacant(base::time_point now) const;
     bool vouched_for(base::time_point now) const;
     int rank(base::time_point now) const;
-    bool better(std::chrono::milliseconds delay,
+    bool better(const wire::cell_status& status,
                 const base::daemon_id& other) const;
 
     base::daemon_id self_;
     std::uint64_t incarnation_;
+    std::uint32_t processor_milli_;
     election_options options_;
     std::optional<leader_row> row_;
     base::time_point row_at_;
--- a/include/coltsfootrack/wire/cell_status.hpp
+++ b/include/coltsfootrack/wire/cell_status.hpp
@@ -30,6 +30,8 @@
     // How long the store takes to answer the sender.
     std::chrono::milliseconds store_delay{0};
     std::uint64_t catalogue_version = 0;
+    // The processor of the sender's VM, in thousandths of a core.
+    std::uint32_t processor_milli = 0;
     // Only from the leader.
     std::vector<queue_count> queues;
 
@@ -40,7 +42,7 @@
                a.store_age == b.store_age && a.leader_age == b.leader_age &&
                a.store_delay == b.store_delay &&
                a.catalogue_version == b.catalogue_version &&
-               a.queues == b.queues;
+               a.queues == b.queues && a.processor_milli == b.processor_milli;
     }
 
     friend bool operator!=(const cell_status& a, const cell_status& b)
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -1094,7 +1094,8 @@
     VT_LEADER_AGE_MS = 14,
     VT_STORE_DELAY_MS = 16,
     VT_CATALOGUE_VERSION = 18,
-    VT_QUEUES = 20
+    VT_QUEUES = 20,
+    VT_PROCESSOR_MILLI = 22
   };
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
@@ -1123,6 +1124,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *>(VT_QUEUES);
   }
+  uint32_t processor_milli() const {
+    return GetField<uint32_t>(VT_PROCESSOR_MILLI, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
@@ -1137,6 +1141,7 @@
            VerifyOffset(verifier, VT_QUEUES) &&
            verifier.VerifyVector(queues()) &&
            verifier.VerifyVectorOfTables(queues()) &&
+           VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
            verifier.EndTable();
   }
 };
@@ -1172,6 +1177,9 @@
   void add_queues(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues) {
     fbb_.AddOffset(CellStatus::VT_QUEUES, queues);
   }
+  void add_processor_milli(uint32_t processor_milli) {
+    fbb_.AddElement<uint32_t>(CellStatus::VT_PROCESSOR_MILLI, processor_milli, 0);
+  }
   explicit CellStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1193,12 +1201,14 @@
     int64_t leader_age_ms = -1LL,
     uint32_t store_delay_ms = 0,
     uint64_t catalogue_version = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues = 0,
+    uint32_t processor_milli = 0) {
   CellStatusBuilder builder_(_fbb);
   builder_.add_catalogue_version(catalogue_version);
   builder_.add_leader_age_ms(leader_age_ms);
   builder_.add_store_age_ms(store_age_ms);
   builder_.add_epoch(epoch);
+  builder_.add_processor_milli(processor_milli);
   builder_.add_queues(queues);
   builder_.add_store_delay_ms(store_delay_ms);
   builder_.add_leader(leader);
@@ -1217,7 +1227,8 @@
     int64_t leader_age_ms = -1LL,
     uint32_t store_delay_ms = 0,
     uint64_t catalogue_version = 0,
-    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues = nullptr) {
+    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues = nullptr,
+    uint32_t processor_milli = 0) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>(*queues) : 0;
   return coltsfootrack::wire::fb::CreateCellStatus(
@@ -1230,7 +1241,8 @@
       leader_age_ms,
       store_delay_ms,
       catalogue_version,
-      queues__);
+      queues__,
+      processor_milli);
 }
 
 struct CatalogueCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -31,7 +31,8 @@
     , clock_(clock)
     , table_(options.job_parts)
     , loop_(clock, max_events)
-    , election_(options.daemon, options.incarnation, election_options())
+    , election_(options.daemon, options.incarnation, options.processor_milli,
+                election_options())
     , dispatcher_(options.daemon, options.long_ticket)
     , committers_(options.job_parts)
 {
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -264,6 +264,7 @@
     status.store_age = election_.store_age(now);
     status.leader_age = election_.leader_age(now);
     status.store_delay = election_.store_delay();
+    status.processor_milli = options_.processor_milli;
     if (leadership_ && leadership_->loaded())
     {
         const auto counts = leadership_->waiting_counts();
--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -21,9 +21,11 @@
 
 leader_election::leader_election(base::daemon_id self,
                                  std::uint64_t incarnation,
+                                 std::uint32_t processor_milli,
                                  const election_options& options)
     : self_(std::move(self))
     , incarnation_(incarnation)
+    , processor_milli_(processor_milli)
     , options_(options)
 {
 }
@@ -195,12 +197,20 @@
     return !vouched_for(now);
 }
 
-bool leader_election::better(std::chrono::milliseconds delay,
+bool leader_election::better(const wire::cell_status& status,
                              const base::daemon_id& other) const
 {
-    const auto theirs = delay / options_.delay_step;
+    const auto theirs = status.store_delay / options_.delay_step;
     const auto own = store_delay() / options_.delay_step;
-    return theirs != own ? theirs < own : other < self_;
+    if (theirs != own)
+    {
+        return theirs < own;
+    }
+    if (status.processor_milli != processor_milli_)
+    {
+        return status.processor_milli > processor_milli_;
+    }
+    return other < self_;
 }
 
 int leader_election::rank(base::time_point now) const
@@ -215,8 +225,7 @@
                 now - other.status_at < options_.candidate_age &&
                 other.status->store_age &&
                 *other.status->store_age < options_.store_silence;
-            return standing && id != row_->daemon &&
-                   better(other.status->store_delay, id);
+            return standing && id != row_->daemon && better(*other.status, id);
         }));
 }
 
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -224,6 +224,7 @@
     value.leader_age = fields.age(m.leader_age_ms());
     value.store_delay = std::chrono::milliseconds(m.store_delay_ms());
     value.catalogue_version = m.catalogue_version();
+    value.processor_milli = m.processor_milli();
     size_guard guard(size);
     for (std::size_t i = 0; m.queues() != nullptr && i < m.queues()->size();
          ++i)
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -141,12 +141,13 @@
                 fb::CreateQueueCount(builder, name, count.waiting));
         }
         const auto list = builder.CreateVector(queues);
-        return {fb::Body::CellStatus,
-                fb::CreateCellStatus(
-                    builder, m.epoch, leader, m.leading, m.stopping,
-                    age_ms(m.store_age), age_ms(m.leader_age),
-                    lease_ms(m.store_delay), m.catalogue_version, list)
-                    .Union()};
+        return {
+            fb::Body::CellStatus,
+            fb::CreateCellStatus(builder, m.epoch, leader, m.leading,
+                                 m.stopping, age_ms(m.store_age),
+                                 age_ms(m.leader_age), lease_ms(m.store_delay),
+                                 m.catalogue_version, list, m.processor_milli)
+                .Union()};
     }
 
     encoded_body operator()(const catalogue_copy& m) const
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -59,6 +59,7 @@
     value.leader_age = any_age();
     value.store_delay = any_span();
     value.catalogue_version = any_number();
+    value.processor_milli = *rc::gen::arbitrary<std::uint32_t>();
     const int queues = *rc::gen::inRange(0, 10);
     for (int i = 0; i < queues; ++i)
     {
