Add a stand-in of the users' platform and a randomized soak

standin-cell speaks the platform's protocol on loopback: store with parts, feed, lost and late writes; runners with fencing, leases, numbered ends and tickets; the placement service. soak-cell starts it with real daemons, kills, pauses, stops and cuts them off by seed, and judges what workers saw against what clients were told.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -36,7 +36,7 @@
 endforeach()
 
 # Stand-ins for the platform, workers and runners, one program per folder.
-foreach(program platform worker runner)
+foreach(program platform worker runner cell)
     file(GLOB sources CONFIGURE_DEPENDS test/standins/${program}/*.cpp)
     if(sources)
         add_executable(standin-${program} ${sources})
@@ -78,3 +78,14 @@
     add_dependencies(test-system coltsfootrackd standin-platform
         standin-worker standin-runner)
 endif()
+
+# The soak of a cell with real processes and injected faults; tools/soak-cell.
+if(NOT COLTSFOOTRACK_SANITIZE)
+    add_library(coltsfootrack-soak STATIC test/soak/cell_cluster.cpp
+        test/soak/fact_checker.cpp test/system/tcp_relay.cpp)
+    target_include_directories(coltsfootrack-soak PUBLIC test test/soak)
+    target_link_libraries(coltsfootrack-soak PUBLIC coltsfootrack-cluster)
+    add_executable(soak-cell test/soak/main.cpp)
+    target_link_libraries(soak-cell PRIVATE coltsfootrack-soak)
+    add_dependencies(soak-cell coltsfootrack-celld standin-cell)
+endif()
--- /dev/null
+++ b/test/standins/cell/cell_runner.cpp
@@ -0,0 +1,330 @@
+// One runner on loopback.
+
+#include "cell_runner.hpp"
+
+#include <sstream>
+
+namespace coltsfootrack::standins
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// The platform lets no lease last longer.
+constexpr std::int64_t longest_lease_ms = 10000;
+
+// How long a stop takes, and how often the lease is looked at.
+constexpr milliseconds stop_time{50};
+constexpr milliseconds lease_period{20};
+
+http::response reply(int status, const nlohmann::json& body)
+{
+    http::response answer;
+    answer.status = status;
+    answer.headers.add("Content-Type", "application/json");
+    answer.body = body.dump();
+    return answer;
+}
+
+std::string step_of(const std::string& task)
+{
+    return task.substr(0, task.rfind('.'));
+}
+
+} // namespace
+
+cell_runner::cell_runner(event_loop& loop, std::string id, recorder record,
+                         ticket_check check)
+    : loop_(loop)
+    , id_(std::move(id))
+    , record_(std::move(record))
+    , check_(std::move(check))
+{
+    restart();
+    loop_.every(lease_period, [this] { check_lease(); });
+}
+
+void cell_runner::restart()
+{
+    ++life_;
+    born_ = steady::now();
+    fence_ = 0;
+    lease_end_ = 0;
+    next_end_ = 1;
+    running_.clear();
+    ended_.clear();
+    highest_.clear();
+    waiting_.clear();
+    record_({{"kind", "life"}, {"worker", id_}});
+}
+
+void cell_runner::set_dark(bool dark)
+{
+    dark_ = dark;
+}
+
+void cell_runner::set_late(milliseconds late)
+{
+    late_ = late;
+}
+
+std::int64_t cell_runner::clock() const
+{
+    return std::chrono::duration_cast<milliseconds>(steady::now() - born_)
+        .count();
+}
+
+void cell_runner::handle(const std::shared_ptr<exchange>& call)
+{
+    if (dark_)
+    {
+        return;
+    }
+    if (call->message.headers.value("Expect-Instance") != id_)
+    {
+        call->answer(reply(421, {{"clock_ms", clock()}}));
+        return;
+    }
+    const bool order = call->message.path != "/-/hold";
+    if (order && late_.count() > 0)
+    {
+        loop_.after(late_,
+                    [this, message = call->message, life = life_]
+                    {
+                        if (life == life_)
+                        {
+                            carry_out(message, [](const http::response&) {});
+                        }
+                    });
+        return;
+    }
+    carry_out(call->message, [call](http::response answer)
+              { call->answer(std::move(answer)); });
+}
+
+void cell_runner::carry_out(const http::request& request,
+                            const std::function<void(http::response)>& answer)
+{
+    const json body = json::parse(request.body, nullptr, false);
+    if (!body.is_object())
+    {
+        answer(reply(400, {{"clock_ms", clock()}}));
+        return;
+    }
+    if (fenced(body))
+    {
+        answer(refuse("fence"));
+        return;
+    }
+    if (request.path == "/-/run-start")
+    {
+        answer(start(body));
+    }
+    else if (request.path == "/-/run-stop")
+    {
+        answer(stop(body));
+    }
+    else if (request.path == "/-/hold")
+    {
+        hold(body, answer);
+    }
+    else if (request.path == "/-/pace")
+    {
+        answer(reply(200, {{"clock_ms", clock()}}));
+    }
+    else
+    {
+        answer(reply(404, {}));
+    }
+}
+
+http::response cell_runner::refuse(const char* reason) const
+{
+    return reply(409, {{"clock_ms", clock()}, {"reason", reason}});
+}
+
+bool cell_runner::fenced(const json& body)
+{
+    const auto token = body.value("fence_token", std::uint64_t{0});
+    if (token < fence_)
+    {
+        return true;
+    }
+    fence_ = token;
+    return false;
+}
+
+void cell_runner::extend(const json& body)
+{
+    if (body.contains("deadline_ms"))
+    {
+        lease_end_ = std::max(
+            lease_end_, std::min(body.at("deadline_ms").get<std::int64_t>(),
+                                 clock() + longest_lease_ms));
+    }
+}
+
+http::response cell_runner::start(const json& body)
+{
+    const auto task = body.at("task").get<std::string>();
+    const auto run = body.at("run").get<std::uint64_t>();
+    extend(body);
+    const auto known = running_.find(task);
+    if (known != running_.end() && known->second.run == run)
+    {
+        return reply(200, {{"clock_ms", clock()}});
+    }
+    const auto highest = highest_.find(task);
+    if (known != running_.end() ||
+        (highest != highest_.end() && run <= highest->second))
+    {
+        return refuse("old");
+    }
+    if (body.at("deadline_ms").get<std::int64_t>() <= clock())
+    {
+        return refuse("late");
+    }
+    if (!check_(step_of(task), id_, body.value("ticket", std::string())))
+    {
+        return refuse("ticket");
+    }
+    std::istringstream payload(body.at("spec").get<std::string>());
+    std::int64_t needed_ms = 0;
+    int failures = 0;
+    payload >> needed_ms >> failures;
+    active added;
+    added.run = run;
+    added.started = steady::now();
+    added.needed = milliseconds(needed_ms);
+    added.fails = failures > 0 && run % 1000 <= static_cast<unsigned>(failures);
+    running_[task] = added;
+    record_({{"kind", "start"},
+             {"worker", id_},
+             {"task", task},
+             {"run", run},
+             {"payload", body.at("spec")}});
+    loop_.after(added.needed,
+                [this, task, run, life = life_, fails = added.fails]
+                {
+                    if (life == life_)
+                    {
+                        finish(task, run, fails ? "failed" : "done");
+                    }
+                });
+    return reply(200, {{"clock_ms", clock()}});
+}
+
+http::response cell_runner::stop(const json& body)
+{
+    const auto task = body.at("task").get<std::string>();
+    const auto run = body.at("run").get<std::uint64_t>();
+    std::uint64_t& highest = highest_[task];
+    highest = std::max(highest, run);
+    const auto known = running_.find(task);
+    if (known != running_.end() && known->second.run <= run)
+    {
+        loop_.after(stop_time,
+                    [this, task, own = known->second.run, life = life_]
+                    {
+                        if (life == life_)
+                        {
+                            finish(task, own, "stopped");
+                        }
+                    });
+    }
+    return reply(200, {{"clock_ms", clock()}});
+}
+
+void cell_runner::finish(const std::string& task, std::uint64_t run,
+                         const std::string& how)
+{
+    const auto known = running_.find(task);
+    if (known == running_.end() || known->second.run != run)
+    {
+        return;
+    }
+    running_.erase(known);
+    std::uint64_t& highest = highest_[task];
+    highest = std::max(highest, run);
+    record_({{"kind", "end"},
+             {"worker", id_},
+             {"task", task},
+             {"run", run},
+             {"how", how}});
+    ended_[next_end_] = json::array({next_end_, task, run, how, ""});
+    ++next_end_;
+    for (const auto& answer : std::exchange(waiting_, {}))
+    {
+        answer();
+    }
+}
+
+void cell_runner::check_lease()
+{
+    if (clock() < lease_end_)
+    {
+        return;
+    }
+    while (!running_.empty())
+    {
+        finish(running_.begin()->first, running_.begin()->second.run, "lapsed");
+    }
+}
+
+http::response cell_runner::lists() const
+{
+    json running = json::array();
+    for (const auto& [task, run] : running_)
+    {
+        const auto passed = std::chrono::duration_cast<milliseconds>(
+            steady::now() - run.started);
+        const std::int64_t percent =
+            run.needed.count() > 0 ? 100 * passed / run.needed : 100;
+        running.push_back(json::array({task, run.run, "", percent, 0}));
+    }
+    json ended = json::array();
+    for (const auto& [number, end] : ended_)
+    {
+        ended.push_back(end);
+    }
+    return reply(200, {{"clock_ms", clock()},
+                       {"born", life_},
+                       {"running", running},
+                       {"ended", ended}});
+}
+
+void cell_runner::hold(const json& body,
+                       const std::function<void(http::response)>& answer)
+{
+    extend(body);
+    const auto acknowledged = body.value("acked_upto", std::uint64_t{0});
+    while (!ended_.empty() && ended_.begin()->first <= acknowledged)
+    {
+        const json& end = ended_.begin()->second;
+        record_({{"kind", "ack"},
+                 {"worker", id_},
+                 {"task", end.at(1)},
+                 {"run", end.at(2)}});
+        ended_.erase(ended_.begin());
+    }
+    const auto wait = body.value("wait_ms", std::int64_t{0});
+    if (wait == 0 || !ended_.empty())
+    {
+        answer(lists());
+        return;
+    }
+    auto answered = std::make_shared<bool>(false);
+    const auto once = [this, answered, answer]
+    {
+        if (!*answered)
+        {
+            *answered = true;
+            answer(lists());
+        }
+    };
+    waiting_.push_back(once);
+    loop_.after(milliseconds(wait), once);
+}
+
+} // namespace coltsfootrack::standins
