Stand again after a claim whose answer was lost

The answer to a claim was lost; the row then named the process, which waited for itself. Ruled out by its log: the store, which answered, and a second leader.

Change: a process that the row names and that does not lead stands again, with a higher epoch.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -67,18 +67,6 @@
 add_executable(measure_control bench/cluster/measure_control.cpp)
 target_link_libraries(measure_control PRIVATE coltsfootrack-cluster)
 
-# The invariants across real processes. tools/check-system runs each test in a
-# process of its own; sanitizers would slow the daemons below their leases.
-file(GLOB system_tests CONFIGURE_DEPENDS test/system/*_test.cpp)
-if(system_tests AND NOT COLTSFOOTRACK_SANITIZE)
-    add_executable(test-system ${system_tests} test/system/fleet_driver.cpp
-        test/system/tcp_relay.cpp)
-    target_link_libraries(test-system PRIVATE
-        coltsfootrack-test-main coltsfootrack-cluster)
-    add_dependencies(test-system coltsfootrackd standin-platform
-        standin-worker standin-runner)
-endif()
-
 # The soak of a cell with real processes and injected faults; tools/soak-cell.
 if(NOT COLTSFOOTRACK_SANITIZE)
     add_library(coltsfootrack-soak STATIC test/soak/cell_cluster.cpp
@@ -89,3 +77,14 @@
     target_link_libraries(soak-cell PRIVATE coltsfootrack-soak)
     add_dependencies(soak-cell coltsfootrack-celld standin-cell)
 endif()
+
+# The invariants across real processes. tools/check-system runs each test in a
+# process of its own; sanitizers would slow the daemons below their leases.
+file(GLOB system_tests CONFIGURE_DEPENDS test/system/*_test.cpp)
+if(system_tests AND NOT COLTSFOOTRACK_SANITIZE)
+    add_executable(test-system ${system_tests} test/system/fleet_driver.cpp)
+    target_link_libraries(test-system PRIVATE
+        coltsfootrack-test-main coltsfootrack-soak)
+    add_dependencies(test-system coltsfootrackd standin-platform
+        standin-worker standin-runner coltsfootrack-celld standin-cell)
+endif()
--- a/include/coltsfootrack/cell/leader_election.hpp
+++ b/include/coltsfootrack/cell/leader_election.hpp
@@ -44,6 +44,10 @@
     // The store answered this daemon after the given delay.
     void on_store_answer(std::chrono::milliseconds delay, base::time_point now);
 
+    // Whether this process acts as the leader. The row may name it without: the
+    // answer to its claim was lost, or it has stepped down.
+    void set_leading(bool leading);
+
     // This daemon is being stopped and does not stand any more.
     void stop();
 
@@ -101,6 +105,7 @@
     std::optional<base::time_point> store_at_;
     double store_delay_ms_ = 0;
     std::optional<base::time_point> vacant_since_;
+    bool leading_ = false;
     bool stopping_ = false;
 };
 
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -176,11 +176,6 @@
                         if (row.exists() && other.ok())
                         {
                             election_.on_row(*other, clock_.now());
-                            // The answer to an earlier claim was lost.
-                            if (election_.is_self())
-                            {
-                                lead(other->epoch);
-                            }
                         }
                     }
                 });
@@ -224,6 +219,7 @@
     {
         leadership_->set_catalogue(known);
     }
+    election_.set_leading(true);
     leadership_->begin();
     send_status();
 }
@@ -238,6 +234,7 @@
               "Leads no more. epoch={} reason={}", leadership_->epoch(),
               reason);
     leadership_.reset();
+    election_.set_leading(false);
     for (row_committer& committer : committers_)
     {
         committer.drop_updates();
--- a/src/cell/leader_election.cpp
+++ b/src/cell/leader_election.cpp
@@ -69,6 +69,11 @@
     store_at_ = now;
 }
 
+void leader_election::set_leading(bool leading)
+{
+    leading_ = leading;
+}
+
 void leader_election::stop()
 {
     stopping_ = true;
@@ -165,7 +170,7 @@
     }
     if (row_->daemon == self_)
     {
-        return row_->incarnation != incarnation_;
+        return row_->incarnation != incarnation_ || !leading_;
     }
     const auto found = peers_.find(row_->daemon);
     const peer* leader = found == peers_.end() ? nullptr : &found->second;
--- a/test/soak/fact_checker.cpp
+++ b/test/soak/fact_checker.cpp
@@ -67,6 +67,20 @@
     return true;
 }
 
+bool fact_checker::spent(const std::string& id) const
+{
+    const auto known = jobs_.find(id);
+    return known != jobs_.end() &&
+           std::any_of(tasks_.begin(), tasks_.end(),
+                       [&](const auto& entry)
+                       {
+                           return parse(entry.first).job == id &&
+                                  static_cast<int>(
+                                      entry.second.failed_runs.size()) >=
+                                      known->second.max_attempts;
+                       });
+}
+
 void fact_checker::apply(const nlohmann::json& facts)
 {
     for (const nlohmann::json& fact : facts)
--- a/test/soak/fact_checker.hpp
+++ b/test/soak/fact_checker.hpp
@@ -56,6 +56,9 @@
     // Whether all tasks of a job have ended as done.
     bool done(const std::string& id) const;
 
+    // Whether a task of a job has failed as often as it may.
+    bool spent(const std::string& id) const;
+
     // Checks that need the answers of clients, at the end.
     void finish();
 
--- a/test/standins/cell/cell_runner.hpp
+++ b/test/standins/cell/cell_runner.hpp
@@ -21,7 +21,7 @@
 // One runner of the users, as their pages describe it: fencing, a lease on its
 // own clock, numbered ends until they are acknowledged, checkpoints, and
 // tickets. It starts whatever it is told to. A task's payload says how it goes:
-// "MILLISECONDS FAILURES", where its first runs fail.
+// "MILLISECONDS PERCENT", where that part of its runs fails.
 //
 // Thread safety: runs on the event loop.
 class cell_runner
--- /dev/null
+++ b/test/system/cell_test.cpp
@@ -0,0 +1,293 @@
+// A cell of real processes against the stand-in of the users' platform: jobs
+// are taken, run and shown while daemons and the store fail.
+
+#include "soak/cell_cluster.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <thread>
+
+namespace coltsfootrack::soak
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+using steady = std::chrono::steady_clock;
+
+cluster_options options_for(const std::string& name)
+{
+    cluster_options options;
+    options.build_folder = ".";
+    options.log_folder = "cell-test/" + name;
+    return options;
+}
+
+known_job short_job(int tasks = 2, int milliseconds_each = 100)
+{
+    known_job job;
+    job.payload = std::to_string(milliseconds_each) + " 0";
+    job.max_attempts = 3;
+    known_step first;
+    first.tasks = tasks;
+    first.cpu_milli = 500;
+    known_step second = first;
+    second.after = {0};
+    job.steps = {first, second};
+    return job;
+}
+
+bool wait_until(const std::function<bool()>& holds, milliseconds limit)
+{
+    const auto end = steady::now() + limit;
+    while (steady::now() < end)
+    {
+        if (holds())
+        {
+            return true;
+        }
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    return holds();
+}
+
+// A cluster that is up, and a judge that knows its jobs.
+class running_cell
+{
+public:
+    explicit running_cell(const std::string& name)
+        : cluster(options_for(name))
+        , judge(options_for(name).worker_cpu_milli)
+    {
+        CPPUNIT_ASSERT(cluster.wait_ready(milliseconds(10000)));
+    }
+
+    // Hands a job in at a daemon; its id.
+    std::string submit(int daemon, const known_job& job, int wanted = 200)
+    {
+        const std::string id = random_id(random);
+        judge.job(id) = job;
+        const auto status = cluster.submit(daemon, id, job);
+        CPPUNIT_ASSERT(status.has_value());
+        CPPUNIT_ASSERT_EQUAL(wanted, *status);
+        judge.job(id).accepted = true;
+        judge.job(id).all_refused = false;
+        return id;
+    }
+
+    bool completes(int daemon, const std::string& id, milliseconds limit)
+    {
+        return wait_until(
+            [&] { return cluster.state(daemon, id) == "completed"; }, limit);
+    }
+
+    // The number of the daemon that leads, by its log; -1 if none does within
+    // some seconds.
+    int leader()
+    {
+        int found = -1;
+        wait_until(
+            [&]
+            {
+                for (int i = 0; i < cluster.daemons() && found < 0; ++i)
+                {
+                    const bool leads =
+                        cluster.daemon(i).output().find(
+                            "event=\"Jobs loaded\"") != std::string::npos;
+                    found = leads ? i : -1;
+                }
+                return found >= 0;
+            },
+            milliseconds(5000));
+        return found;
+    }
+
+    void check()
+    {
+        judge.apply(cluster.facts());
+        judge.finish();
+        CPPUNIT_ASSERT_EQUAL(std::string(), judge.faults().empty()
+                                                ? std::string()
+                                                : judge.faults().front());
+    }
+
+    std::mt19937_64 random{7};
+    cell_cluster cluster;
+    fact_checker judge;
+};
+
+} // namespace
+
+class cell_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(cell_test);
+    CPPUNIT_TEST(cell_job_is_completed_and_shown_by_every_daemon);
+    CPPUNIT_TEST(cell_job_handed_in_twice_runs_once);
+    CPPUNIT_TEST(cell_cancelled_job_stops);
+    CPPUNIT_TEST(cell_unknown_job_is_gone);
+    CPPUNIT_TEST(cell_leader_killed_work_goes_on);
+    CPPUNIT_TEST(cell_leader_stopped_hands_over);
+    CPPUNIT_TEST(cell_all_daemons_killed_work_is_found_again);
+    CPPUNIT_TEST(cell_store_turns_daemon_away_peer_stores);
+    CPPUNIT_TEST(cell_store_down_refuses_at_once);
+    CPPUNIT_TEST(cell_planned_stop_ends_in_time);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void cell_job_is_completed_and_shown_by_every_daemon()
+    {
+        running_cell cell("completed");
+        const std::string id = cell.submit(0, short_job());
+        for (int i = 0; i < cell.cluster.daemons(); ++i)
+        {
+            CPPUNIT_ASSERT(cell.completes(i, id, milliseconds(5000)));
+        }
+        cell.check();
+        CPPUNIT_ASSERT(cell.judge.done(id));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, cell.judge.starts());
+    }
+
+    void cell_job_handed_in_twice_runs_once()
+    {
+        running_cell cell("twice");
+        const std::string id = cell.submit(0, short_job());
+        CPPUNIT_ASSERT_EQUAL(200,
+                             *cell.cluster.submit(1, id, cell.judge.job(id)));
+        CPPUNIT_ASSERT(cell.completes(2, id, milliseconds(5000)));
+        CPPUNIT_ASSERT_EQUAL(200,
+                             *cell.cluster.submit(2, id, cell.judge.job(id)));
+        std::this_thread::sleep_for(milliseconds(500));
+        cell.check();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, cell.judge.starts());
+    }
+
+    void cell_cancelled_job_stops()
+    {
+        running_cell cell("cancelled");
+        const std::string id = cell.submit(0, short_job(2, 60000));
+        CPPUNIT_ASSERT(
+            wait_until([&] { return cell.cluster.state(0, id) == "running"; },
+                       milliseconds(5000)));
+        CPPUNIT_ASSERT_EQUAL(200, *cell.cluster.cancel(1, id));
+        CPPUNIT_ASSERT(
+            wait_until([&] { return cell.cluster.state(2, id) == "cancelled"; },
+                       milliseconds(3000)));
+        cell.check();
+    }
+
+    void cell_unknown_job_is_gone()
+    {
+        running_cell cell("unknown");
+        CPPUNIT_ASSERT_EQUAL(std::string("410"),
+                             cell.cluster.state(0, "0123456789abcdef"));
+        CPPUNIT_ASSERT_EQUAL(410, *cell.cluster.cancel(0, "0123456789abcdef"));
+    }
+
+    // Guards against work that is lost, or started twice, by a new leader.
+    void cell_leader_killed_work_goes_on()
+    {
+        running_cell cell("leader-killed");
+        const std::string id = cell.submit(0, short_job(4, 1500));
+        std::this_thread::sleep_for(milliseconds(700));
+        const int leader = cell.leader();
+        CPPUNIT_ASSERT(leader >= 0);
+        cell.cluster.daemon(leader).kill();
+        const int other = (leader + 1) % cell.cluster.daemons();
+        const std::string next = cell.submit(other, short_job());
+        CPPUNIT_ASSERT(cell.completes(other, next, milliseconds(6000)));
+        CPPUNIT_ASSERT(cell.completes(other, id, milliseconds(10000)));
+        cell.check();
+    }
+
+    void cell_leader_stopped_hands_over()
+    {
+        running_cell cell("leader-stopped");
+        const int leader = cell.leader();
+        CPPUNIT_ASSERT(leader >= 0);
+        cell.cluster.daemon(leader).send_signal(SIGTERM);
+        const int other = (leader + 1) % cell.cluster.daemons();
+        const std::string id = cell.submit(other, short_job());
+        CPPUNIT_ASSERT(cell.completes(other, id, milliseconds(4000)));
+        cell.check();
+    }
+
+    void cell_all_daemons_killed_work_is_found_again()
+    {
+        running_cell cell("all-killed");
+        const std::string id = cell.submit(0, short_job(3, 2500));
+        std::this_thread::sleep_for(milliseconds(700));
+        for (int i = 0; i < cell.cluster.daemons(); ++i)
+        {
+            cell.cluster.daemon(i).kill();
+        }
+        for (int i = 0; i < cell.cluster.daemons(); ++i)
+        {
+            cell.cluster.start_daemon(i);
+        }
+        CPPUNIT_ASSERT(cell.cluster.wait_ready(milliseconds(10000)));
+        CPPUNIT_ASSERT(cell.completes(0, id, milliseconds(15000)));
+        cell.check();
+        // Three tasks in two steps: what ran was adopted.
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{6}, cell.judge.starts());
+    }
+
+    // Guards against callers that are refused by a daemon whose peers could
+    // store their job.
+    void cell_store_turns_daemon_away_peer_stores()
+    {
+        running_cell cell("turned-away");
+        const int leader = cell.leader();
+        const int away = (leader + 1) % cell.cluster.daemons();
+        cell.cluster.store_faults(away, {{"busy", true}});
+        const std::string id = cell.submit(away, short_job());
+        CPPUNIT_ASSERT(cell.completes(away, id, milliseconds(5000)));
+        cell.check();
+    }
+
+    // Guards against callers that are held for a store which is down.
+    void cell_store_down_refuses_at_once()
+    {
+        running_cell cell("store-down");
+        for (int i = 0; i < cell.cluster.daemons(); ++i)
+        {
+            cell.cluster.store_faults(i, {{"busy", true}});
+        }
+        std::this_thread::sleep_for(milliseconds(300));
+        const std::string id = random_id(cell.random);
+        cell.judge.job(id) = short_job();
+        const auto start = steady::now();
+        CPPUNIT_ASSERT_EQUAL(503,
+                             *cell.cluster.submit(0, id, cell.judge.job(id)));
+        CPPUNIT_ASSERT(steady::now() - start < milliseconds(2000));
+        for (int i = 0; i < cell.cluster.daemons(); ++i)
+        {
+            cell.cluster.store_faults(i, nlohmann::json::object());
+        }
+        CPPUNIT_ASSERT(wait_until(
+            [&]
+            {
+                const auto again = random_id(cell.random);
+                cell.judge.job(again) = short_job();
+                cell.judge.job(again).all_refused = false;
+                return cell.cluster.submit(0, again, cell.judge.job(again)) ==
+                       200;
+            },
+            milliseconds(4000)));
+        cell.check();
+    }
+
+    void cell_planned_stop_ends_in_time()
+    {
+        running_cell cell("planned-stop");
+        cell.cluster.daemon(1).send_signal(SIGTERM);
+        const auto status = cell.cluster.daemon(1).wait(milliseconds(6000));
+        CPPUNIT_ASSERT(status.has_value());
+        CPPUNIT_ASSERT_EQUAL(0, *status);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(cell_test);
+
+} // namespace coltsfootrack::soak
