--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -22,7 +22,8 @@
                            base::time_point now, base::time_point deadline,
                            callback done)
 {
-    if (waiting_.size() >= max_waiting || stuck(now) || (doubtful_ && !idle()))
+    if (waiting_.size() >= max_waiting || stuck(now) ||
+        (doubtful_ && (!idle() || now < not_before_)))
     {
         done(write_status::refused);
         return;
--- a/test/soak/cell_cluster.cpp
+++ b/test/soak/cell_cluster.cpp
@@ -42,7 +42,11 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
+               sizeof address) != 0)
+    {
+        throw std::runtime_error("no port is free");
+    }
     ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
     ::close(descriptor);
     return ntohs(address.sin_port);
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -108,7 +108,8 @@
         {
             known_step step;
             step.tasks = between(1, 5);
-            step.cpu_milli = between(1, 5) * 500;
+            constexpr std::int64_t half_core = 500;
+            step.cpu_milli = half_core * between(1, 5);
             if (!job.steps.empty())
             {
                 step.after = {static_cast<int>(job.steps.size()) - 1};
--- a/test/system/cell_test.cpp
+++ b/test/system/cell_test.cpp
@@ -67,7 +67,7 @@
     // Hands a job in at a daemon; its id.
     std::string submit(int daemon, const known_job& job, int wanted = 200)
     {
-        const std::string id = random_id(random);
+        std::string id = random_id(random);
         judge.job(id) = job;
         const auto status = cluster.submit(daemon, id, job);
         CPPUNIT_ASSERT(status.has_value());
