--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -69,7 +69,7 @@
 
 # The soak of a cell with real processes and injected faults; tools/soak-cell.
 if(NOT COLTSFOOTRACK_SANITIZE)
-    add_library(coltsfootrack-soak STATIC test/soak/cell_cluster.cpp
+    add_library(coltsfootrack-soak STATIC test/standins/cluster/cell_cluster.cpp
         test/soak/fact_checker.cpp test/system/tcp_relay.cpp)
     target_include_directories(coltsfootrack-soak PUBLIC test test/soak)
     target_link_libraries(coltsfootrack-soak PUBLIC coltsfootrack-cluster)
--- /dev/null
+++ b/test/fleet/worker_lease_test.cpp
@@ -0,0 +1,87 @@
+// Tests of a worker's lease: nothing may be started again while the worker, on
+// a clock that may be slow, could still run it.
+
+#include <coltsfootrack/base/random_source.hpp>
+#include <coltsfootrack/fleet/worker_lease.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootrack::fleet
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+const base::time_point start{std::chrono::seconds(100)};
+
+} // namespace
+
+class worker_lease_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(worker_lease_test);
+    CPPUNIT_TEST(grant_before_first_answer_is_not_possible);
+    CPPUNIT_TEST(lease_of_former_leader_is_waited_for);
+    CPPUNIT_TEST(lease_is_never_over_while_slow_worker_runs);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void grant_before_first_answer_is_not_possible()
+    {
+        worker_lease lease(milliseconds(5000), milliseconds(5000));
+        CPPUNIT_ASSERT(!lease.grant(start));
+        lease.note_clock(milliseconds(70000), start);
+        CPPUNIT_ASSERT(*lease.grant(start) == milliseconds(75000));
+    }
+
+    void lease_of_former_leader_is_waited_for()
+    {
+        const worker_lease lease(milliseconds(1000), milliseconds(5000));
+        CPPUNIT_ASSERT(!lease.over(start + milliseconds(5000), start));
+        CPPUNIT_ASSERT(lease.over(start + milliseconds(5300), start));
+    }
+
+    // The worker's clock is up to 2% slow and answers take any time. Whatever
+    // was granted, over() is true only when the worker's clock has passed it.
+    void lease_is_never_over_while_slow_worker_runs()
+    {
+        for (std::uint64_t seed = 1; seed <= 500; ++seed)
+        {
+            const base::random_source random = base::seeded_random(seed);
+            const double rate =
+                0.98 + static_cast<double>(random() % 200) / 10000.0;
+            worker_lease lease(milliseconds(3000), milliseconds(3000));
+            base::time_point now = start;
+            double granted = 0;
+            const auto worker_clock = [&](base::time_point at)
+            {
+                return 50000 +
+                       rate * static_cast<double>(
+                                  std::chrono::duration_cast<milliseconds>(
+                                      at - start)
+                                      .count());
+            };
+            for (int turn = 0; turn < 20; ++turn)
+            {
+                const base::time_point read = now;
+                now += milliseconds(random() % 300);
+                lease.note_clock(
+                    milliseconds(static_cast<std::int64_t>(worker_clock(read))),
+                    now);
+                const auto end = lease.grant(now);
+                granted = std::max(granted, static_cast<double>(end->count()));
+                now += milliseconds(random() % 800);
+            }
+            while (!lease.over(now, start))
+            {
+                now += milliseconds(10);
+            }
+            CPPUNIT_ASSERT_MESSAGE("seed " + std::to_string(seed),
+                                   worker_clock(now) > granted);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_lease_test);
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/test/jobs/stored_rows_test.cpp
@@ -0,0 +1,166 @@
+// Tests of the stored form of jobs: nothing is lost on the way, and a row that
+// is no job is an error and not half a job.
+
+#include <coltsfootrack/jobs/job_progress.hpp>
+#include <coltsfootrack/jobs/job_submission.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+namespace coltsfootrack::jobs
+{
+namespace
+{
+
+step_spec any_step(int number)
+{
+    step_spec step;
+    step.tasks = *rc::gen::inRange(1, 50);
+    step.need = {*rc::gen::inRange(0, 100000), *rc::gen::inRange(0, 100000),
+                 *rc::gen::inRange(0, 9)};
+    step.estimate = std::chrono::milliseconds(*rc::gen::inRange(0, 100000));
+    if (number > 0)
+    {
+        step.after = {*rc::gen::inRange(0, number)};
+    }
+    step.checkpoints = *rc::gen::arbitrary<bool>();
+    step.gang = *rc::gen::arbitrary<bool>();
+    step.same_rack = *rc::gen::arbitrary<bool>();
+    step.required_label = *rc::gen::element<std::string>("", "a", "b");
+    step.data_rack = *rc::gen::element<std::string>("", "r1", "r2");
+    step.max_per_worker = *rc::gen::inRange(0, 5);
+    step.copies_allowed = *rc::gen::arbitrary<bool>();
+    step.standing = *rc::gen::arbitrary<bool>();
+    step.image = *rc::gen::element<std::string>("", "i");
+    step.latency_target = std::chrono::milliseconds(*rc::gen::inRange(0, 900));
+    step.uses_leftover = *rc::gen::arbitrary<bool>();
+    step.has_disruption_budget = *rc::gen::arbitrary<bool>();
+    step.disruption_budget =
+        step.has_disruption_budget ? *rc::gen::inRange(0, 5) : 0;
+    return step;
+}
+
+job_submission any_submission()
+{
+    job_submission job;
+    job.queue = *rc::gen::element<std::string>("q", "r");
+    job.team = base::team_id(*rc::gen::element<std::string>("", "t"));
+    job.submitted = std::chrono::system_clock::time_point(
+        std::chrono::milliseconds(*rc::gen::inRange(0, 2000000000)));
+    job.spec.payload = *rc::gen::element<std::string>("", "text", "\"{}\\");
+    const int steps = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < steps; ++i)
+    {
+        job.spec.steps.push_back(any_step(i));
+    }
+    if (*rc::gen::arbitrary<bool>())
+    {
+        job.spec.repeats = *rc::gen::inRange(1, 9);
+        job.spec.first_due = std::chrono::system_clock::time_point(
+            std::chrono::milliseconds(*rc::gen::inRange(0, 2000000000)));
+        job.spec.interval =
+            std::chrono::milliseconds(*rc::gen::inRange(0, 9000));
+    }
+    return job;
+}
+
+job_progress any_progress()
+{
+    job_progress value;
+    value.state = *rc::gen::element(job_state::queued, job_state::running);
+    const int steps = *rc::gen::inRange(0, 5);
+    for (int i = 0; i < steps; ++i)
+    {
+        step_progress& step = value.steps[{0, i}];
+        const int tasks = *rc::gen::inRange(1, 9);
+        for (int k = 0; k < tasks; ++k)
+        {
+            step.done.push_back(*rc::gen::arbitrary<bool>());
+        }
+        if (*rc::gen::arbitrary<bool>())
+        {
+            step.failures[*rc::gen::inRange(0, tasks)] = {
+                1, static_cast<std::uint64_t>(*rc::gen::inRange(2, 99999))};
+        }
+    }
+    return value;
+}
+
+} // namespace
+
+class stored_rows_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(stored_rows_test);
+    CPPUNIT_TEST(submission_is_read_back);
+    CPPUNIT_TEST(progress_is_read_back);
+    CPPUNIT_TEST(final_progress_keeps_only_its_state);
+    CPPUNIT_TEST(other_text_is_an_error);
+    CPPUNIT_TEST(critical_path_is_the_longest_chain);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void submission_is_read_back()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                const job_submission job = any_submission();
+                const auto read = decode_submission(encode(job));
+                RC_ASSERT(read.ok());
+                RC_ASSERT(*read == job);
+            }));
+    }
+
+    void progress_is_read_back()
+    {
+        CPPUNIT_ASSERT(rc::check(
+            []
+            {
+                const job_progress value = any_progress();
+                const auto read = decode_progress(encode(value));
+                RC_ASSERT(read.ok());
+                RC_ASSERT(*read == value);
+            }));
+    }
+
+    void final_progress_keeps_only_its_state()
+    {
+        job_progress value;
+        value.state = job_state::completed;
+        value.steps[{0, 0}].done = {true};
+        const auto read = decode_progress(encode(value));
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(read->state == job_state::completed);
+        CPPUNIT_ASSERT(read->steps.empty());
+    }
+
+    void other_text_is_an_error()
+    {
+        for (const char* text :
+             {"", "{", "[]", "{\"queue\":1}", "{\"state\":\"unheard\"}",
+              "{\"queue\":\"q\",\"submitted_ms\":0,\"payload\":\"\","
+              "\"steps\":[]}",
+              "{\"state\":\"running\",\"steps\":[[0]]}"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(text, !decode_submission(text).ok());
+            CPPUNIT_ASSERT_MESSAGE(text, !decode_progress(text).ok());
+        }
+    }
+
+    void critical_path_is_the_longest_chain()
+    {
+        job_spec spec;
+        for (const int ms : {100, 300, 50})
+        {
+            step_spec step;
+            step.estimate = std::chrono::milliseconds(ms);
+            spec.steps.push_back(step);
+        }
+        spec.steps[2].after = {0, 1};
+        CPPUNIT_ASSERT(critical_path(spec) == std::chrono::milliseconds(350));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(stored_rows_test);
+
+} // namespace coltsfootrack::jobs
--- /dev/null
+++ b/test/platform/documents_test.cpp
@@ -0,0 +1,320 @@
+// Tests of the platform's documents: what is read from whole ones, and that
+// rows with missing fields, wrong types or unknown words name nothing.
+
+#include "documents.hpp"
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/log.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::platform
+{
+namespace
+{
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+json whole_listing()
+{
+    return json::parse(R"({"service":"s1","address":"10.128.0.9:8080",
+        "zone":"z1","version":"v1","slots":8,"state":"ready",
+        "cold_left_ms":0,"capacity":{"cpu":16000,"mem_mb":32768,"gpus":2},
+        "labels":["a","r1-3"],"clock_ms":482113,"call_seq":4})");
+}
+
+json whole_config()
+{
+    return json::parse(R"({"version":7,"routes":[{"name":"r1",
+        "host":"h.example","path_prefix":"/a/","timeout_ms":3000,
+        "target_runtime_ms":400,"priority":1,"service":"s1",
+        "max_attempts":3,"stretch":1.5,
+        "advice":{"decide_ms":15.5,"each_ms":0.21,"valid_ms":1500},
+        "public":true}],
+        "services":[{"name":"s1","enforces_capacity":false,"spare":true}],
+        "tenants":[{"name":"t1","api_keys":["k1","k2"],"weight":13,
+        "upper_limit":{"cpu":7000,"mem_mb":2000,"gpus":6}}]})");
+}
+
+json whole_job()
+{
+    return json::parse(R"({"spec":"text","steps":[
+        {"count":4,"cpu":500,"mem_mb":256,"estimate_ms":900,
+         "affinity":"r1-3"},
+        {"count":20,"cpu":2000,"mem_mb":1024,"gpus":1,"estimate_ms":7000,
+         "after":[0],"checkpoint":true,"gang":true,"same_rack":true,
+         "requires":"a","max_per_server":2,"speculative":true,
+         "long_running":true,"image":"i","target_ms":250,"fills":true,
+         "may_miss":1}],
+        "repeat_count":3,"first_ms":1000,"interval_ms":500})");
+}
+
+// A fault of a document: the text of a JSON pointer, and the value put there;
+// null removes the field.
+struct fault
+{
+    const char* path;
+    json value;
+};
+
+json with(json document, const fault& change)
+{
+    const json::json_pointer at(change.path);
+    if (change.value.is_null())
+    {
+        document.at(at.parent_pointer()).erase(at.back());
+    }
+    else
+    {
+        document[at] = change.value;
+    }
+    return document;
+}
+
+} // namespace
+
+class documents_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(documents_test);
+    CPPUNIT_TEST(listing_whole_gives_every_field);
+    CPPUNIT_TEST(listing_draining_is_leaving);
+    CPPUNIT_TEST(listing_with_fault_names_no_worker);
+    CPPUNIT_TEST(listing_of_any_bytes_is_an_error);
+    CPPUNIT_TEST(catalogue_whole_gives_every_field);
+    CPPUNIT_TEST(catalogue_route_with_fault_is_left_out);
+    CPPUNIT_TEST(catalogue_without_its_parts_is_an_error);
+    CPPUNIT_TEST(catalogue_longest_prefix_routes);
+    CPPUNIT_TEST(job_whole_gives_every_field);
+    CPPUNIT_TEST(job_without_optional_fields_has_defaults);
+    CPPUNIT_TEST(job_with_fault_is_invalid);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        base::set_log_level(base::log_level::error);
+    }
+
+    void listing_whole_gives_every_field()
+    {
+        const auto listing = read_listing("i-1", whole_listing().dump());
+        CPPUNIT_ASSERT(listing.ok());
+        fleet::worker_listing wanted;
+        wanted.worker = base::worker_id("i-1");
+        wanted.address = "10.128.0.9:8080";
+        wanted.service = base::service_id("s1");
+        wanted.zone = base::zone_id("z1");
+        wanted.capacity = {16000, 32768, 2};
+        wanted.labels = {"a", "r1-3"};
+        CPPUNIT_ASSERT(*listing == wanted);
+    }
+
+    void listing_draining_is_leaving()
+    {
+        const auto listing = read_listing(
+            "i-1", with(whole_listing(), {"/state", "draining"}).dump());
+        CPPUNIT_ASSERT(listing.ok());
+        CPPUNIT_ASSERT(listing->leaving);
+    }
+
+    // Guards against rows of other writers that are taken for workers.
+    void listing_with_fault_names_no_worker()
+    {
+        const std::vector<fault> faults = {{"/service", nullptr},
+                                           {"/service", 7},
+                                           {"/address", nullptr},
+                                           {"/address", json::array()},
+                                           {"/zone", nullptr},
+                                           {"/zone", false},
+                                           {"/state", nullptr},
+                                           {"/state", "gone"},
+                                           {"/state", 1},
+                                           {"/capacity", nullptr},
+                                           {"/capacity", 5},
+                                           {"/capacity/cpu", nullptr},
+                                           {"/capacity/cpu", "many"},
+                                           {"/capacity/mem_mb", nullptr},
+                                           {"/capacity/gpus", "two"},
+                                           {"/labels", nullptr},
+                                           {"/labels", "a"},
+                                           {"/labels", json::array({1, 2})}};
+        for (const fault& change : faults)
+        {
+            const auto listing =
+                read_listing("i-1", with(whole_listing(), change).dump());
+            CPPUNIT_ASSERT_MESSAGE(change.path, !listing.ok());
+        }
+    }
+
+    void listing_of_any_bytes_is_an_error()
+    {
+        for (const std::string text :
+             {"", "{", "[]", "null", "7", "\xff\xfe\x00", "{\"a\":1}"})
+        {
+            CPPUNIT_ASSERT(!read_listing("i-1", text).ok());
+        }
+    }
+
+    void catalogue_whole_gives_every_field()
+    {
+        const auto value = read_catalogue(whole_config().dump());
+        CPPUNIT_ASSERT(value.ok());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, value->version);
+        fleet::queue_policy queue;
+        queue.name = "r1";
+        queue.host = "h.example";
+        queue.path_prefix = "/a/";
+        queue.service = base::service_id("s1");
+        queue.priority = 1;
+        queue.max_attempts = 3;
+        queue.stretch = 1.5;
+        queue.slack = milliseconds(400);
+        queue.call_timeout = milliseconds(3000);
+        queue.open = true;
+        fleet::ticket_policy tickets;
+        tickets.decide_time = std::chrono::duration<double, std::milli>(15.5);
+        tickets.each_time = std::chrono::duration<double, std::milli>(0.21);
+        tickets.valid_for = milliseconds(1500);
+        queue.tickets = tickets;
+        CPPUNIT_ASSERT(*value->queue("r1") == queue);
+        const fleet::service_policy service{base::service_id("s1"), false,
+                                            true};
+        CPPUNIT_ASSERT(value->services.at(base::service_id("s1")) == service);
+        const fleet::team_policy team{base::team_id("t1"), 13, {7000, 2000, 6}};
+        CPPUNIT_ASSERT(*value->team(base::team_id("t1")) == team);
+        CPPUNIT_ASSERT(*value->team_of("k2") == base::team_id("t1"));
+        CPPUNIT_ASSERT(value->team_of("k3") == nullptr);
+    }
+
+    // Guards against one faulty route that takes all others out of service.
+    void catalogue_route_with_fault_is_left_out()
+    {
+        const std::vector<fault> faults = {
+            {"/routes/0/name", nullptr},    {"/routes/0/host", nullptr},
+            {"/routes/0/host", 3},          {"/routes/0/path_prefix", nullptr},
+            {"/routes/0/service", nullptr}, {"/routes/0/priority", "high"},
+            {"/routes/0/stretch", "long"}};
+        for (const fault& change : faults)
+        {
+            json config = with(whole_config(), change);
+            json sound = whole_config()["routes"][0];
+            sound["name"] = "r2";
+            config["routes"].push_back(sound);
+            const auto value = read_catalogue(config.dump());
+            CPPUNIT_ASSERT_MESSAGE(change.path, value.ok());
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1}, value->queues.size());
+            CPPUNIT_ASSERT(value->queue("r2") != nullptr);
+        }
+    }
+
+    void catalogue_without_its_parts_is_an_error()
+    {
+        const std::vector<fault> faults = {
+            {"/version", nullptr},       {"/version", "seven"},
+            {"/routes", nullptr},        {"/routes", 1},
+            {"/services", nullptr},      {"/tenants/0/name", nullptr},
+            {"/tenants/0/api_keys", "k"}};
+        for (const fault& change : faults)
+        {
+            const auto value =
+                read_catalogue(with(whole_config(), change).dump());
+            CPPUNIT_ASSERT_MESSAGE(change.path, !value.ok());
+        }
+        CPPUNIT_ASSERT(!read_catalogue("").ok());
+    }
+
+    void catalogue_longest_prefix_routes()
+    {
+        json config = whole_config();
+        json longer = config["routes"][0];
+        longer["name"] = "r2";
+        longer["path_prefix"] = "/a/b/";
+        config["routes"].push_back(longer);
+        const auto value = read_catalogue(config.dump());
+        CPPUNIT_ASSERT(value.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("r1"),
+                             value->route("h.example", "/a/x")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("r2"),
+                             value->route("H.example:80", "/a/b/x")->name);
+        CPPUNIT_ASSERT(value->route("h.example", "/c/x") == nullptr);
+        CPPUNIT_ASSERT(value->route("g.example", "/a/x") == nullptr);
+    }
+
+    void job_whole_gives_every_field()
+    {
+        const auto job = read_job(whole_job().dump());
+        CPPUNIT_ASSERT(job.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("text"), job->payload);
+        CPPUNIT_ASSERT_EQUAL(3, job->repeats);
+        CPPUNIT_ASSERT(job->interval == milliseconds(500));
+        jobs::step_spec step;
+        step.tasks = 20;
+        step.need = {2000, 1024, 1};
+        step.estimate = milliseconds(7000);
+        step.after = {0};
+        step.checkpoints = true;
+        step.gang = true;
+        step.same_rack = true;
+        step.required_label = "a";
+        step.max_per_worker = 2;
+        step.copies_allowed = true;
+        step.standing = true;
+        step.image = "i";
+        step.latency_target = milliseconds(250);
+        step.uses_leftover = true;
+        step.disruption_budget = 1;
+        step.has_disruption_budget = true;
+        CPPUNIT_ASSERT(job->steps.at(1) == step);
+        CPPUNIT_ASSERT_EQUAL(std::string("r1-3"), job->steps[0].data_rack);
+    }
+
+    void job_without_optional_fields_has_defaults()
+    {
+        const auto job = read_job(R"({"spec":"","steps":[{"count":1}]})");
+        CPPUNIT_ASSERT(job.ok());
+        CPPUNIT_ASSERT(job->steps.at(0) == jobs::step_spec());
+        CPPUNIT_ASSERT(!job->timed());
+    }
+
+    void job_with_fault_is_invalid()
+    {
+        const std::vector<fault> faults = {
+            {"/spec", nullptr},
+            {"/spec", 5},
+            {"/spec", std::string(jobs::max_payload_bytes + 1, 'x')},
+            {"/steps", nullptr},
+            {"/steps", json::array()},
+            {"/steps", "one"},
+            {"/steps/0/count", nullptr},
+            {"/steps/0/count", 0},
+            {"/steps/0/count", -3},
+            {"/steps/0/count", "many"},
+            {"/steps/0/cpu", -1},
+            {"/steps/0/mem_mb", "much"},
+            {"/steps/0/estimate_ms", -5},
+            {"/steps/0/after", json::array({0})},
+            {"/steps/1/after", json::array({1})},
+            {"/steps/1/after", json::array({-1})},
+            {"/steps/1/after", "first"},
+            {"/steps/1/max_per_server", -1},
+            {"/repeat_count", -1},
+            {"/interval_ms", -1}};
+        for (const fault& change : faults)
+        {
+            const auto job = read_job(with(whole_job(), change).dump());
+            CPPUNIT_ASSERT_MESSAGE(change.path, !job.ok());
+            CPPUNIT_ASSERT(base::kind_of(job.status()) ==
+                           base::error_kind::invalid_request);
+        }
+        CPPUNIT_ASSERT(!read_job("").ok());
+        CPPUNIT_ASSERT(!read_job("[]").ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(documents_test);
+
+} // namespace coltsfootrack::platform
--- /dev/null
+++ b/test/platform/names_and_settings_test.cpp
@@ -0,0 +1,106 @@
+// Tests of task names on the wire and of the settings file.
+
+#include "settings.hpp"
+#include "task_name.hpp"
+
+#include <coltsfootrack/base/error_kind.hpp>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <nlohmann/json.hpp>
+
+namespace coltsfootrack::platform
+{
+namespace
+{
+
+nlohmann::json whole_settings()
+{
+    return nlohmann::json::parse(R"({"daemon":"d1","zone":"z","region":"r",
+        "address":"10.1.0.5","peer_ports":[7180,7195],
+        "listen":{"callers":"10.1.0.5:8686","health":"10.1.0.5:8689"},
+        "store":"10.200.1.7:8683","tickets":"10.200.1.9:8683",
+        "limits":{"processor_share":0.25,"processors":2},
+        "bounds":{"stop_grace_s":6,"far_factor":1.5,"share_window_s":5,
+        "share_slack":20,"longest_lease_ms":10000,"state_kept_s":120}})");
+}
+
+} // namespace
+
+class names_and_settings_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(names_and_settings_test);
+    CPPUNIT_TEST(task_name_is_read_back);
+    CPPUNIT_TEST(task_name_of_other_form_is_an_error);
+    CPPUNIT_TEST(settings_whole_give_every_field);
+    CPPUNIT_TEST(settings_with_comments_are_read);
+    CPPUNIT_TEST(settings_without_a_field_are_refused);
+    CPPUNIT_TEST(settings_file_that_is_missing_is_refused);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void task_name_is_read_back()
+    {
+        const jobs::task_key key{{base::job_id("5c0e7a21d94b36f8"), 2, 1}, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.2.1.17"),
+                             task_name(key));
+        CPPUNIT_ASSERT_EQUAL(std::string("5c0e7a21d94b36f8.2.1"),
+                             step_name(key.step));
+        CPPUNIT_ASSERT(*parse_task_name(task_name(key)) == key);
+    }
+
+    void task_name_of_other_form_is_an_error()
+    {
+        for (const char* name : {"", "a", "a.0.1", "a.0.1.2.3", ".0.1.2",
+                                 "a.x.1.2", "a.0..2", "a.0.1.99999999999"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(name, !parse_task_name(name).ok());
+        }
+    }
+
+    void settings_whole_give_every_field()
+    {
+        const auto value = parse_settings(whole_settings().dump());
+        CPPUNIT_ASSERT(value.ok());
+        CPPUNIT_ASSERT_EQUAL(std::string("d1"), value->daemon);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7180}, value->first_peer_port);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8686}, value->callers.port);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{500}, value->processor_milli);
+        CPPUNIT_ASSERT(value->longest_lease == std::chrono::seconds(10));
+        CPPUNIT_ASSERT_EQUAL(20, value->share_slack);
+    }
+
+    void settings_with_comments_are_read()
+    {
+        CPPUNIT_ASSERT(
+            parse_settings("// one daemon\n" + whole_settings().dump()).ok());
+    }
+
+    // Guards against a daemon that starts on half of its settings.
+    void settings_without_a_field_are_refused()
+    {
+        for (const char* path :
+             {"/daemon", "/zone", "/region", "/address", "/peer_ports",
+              "/listen/callers", "/listen/health", "/store", "/tickets",
+              "/limits/processor_share", "/bounds/stop_grace_s",
+              "/bounds/share_slack", "/bounds/longest_lease_ms"})
+        {
+            const nlohmann::json::json_pointer at(path);
+            auto without = whole_settings();
+            without.at(at.parent_pointer()).erase(at.back());
+            const auto value = parse_settings(without.dump());
+            CPPUNIT_ASSERT_MESSAGE(path, !value.ok());
+            CPPUNIT_ASSERT(base::kind_of(value.status()) ==
+                           base::error_kind::invalid_settings);
+        }
+    }
+
+    void settings_file_that_is_missing_is_refused()
+    {
+        CPPUNIT_ASSERT(!load_settings("").ok());
+        CPPUNIT_ASSERT(!load_settings("no-such-file.json").ok());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(names_and_settings_test);
+
+} // namespace coltsfootrack::platform
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -4,7 +4,7 @@
 // Each run follows from its seed: which faults come when, and which jobs. The
 // timing of processes does not, so a seed that failed may need several runs.
 
-#include "cell_cluster.hpp"
+#include "standins/cluster/cell_cluster.hpp"
 #include "standins/support/arguments.hpp"
 
 #include <algorithm>
--- a/test/soak/cell_cluster.hpp
+++ b/test/standins/cluster/cell_cluster.hpp
@@ -1,8 +1,8 @@
-#ifndef COLTSFOOTRACK_TEST_SOAK_CELL_CLUSTER_HPP_INCLUDED
-#define COLTSFOOTRACK_TEST_SOAK_CELL_CLUSTER_HPP_INCLUDED
+#ifndef COLTSFOOTRACK_TEST_STANDINS_CLUSTER_CELL_CLUSTER_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_STANDINS_CLUSTER_CELL_CLUSTER_HPP_INCLUDED
 
 #include "child_process.hpp"
-#include "fact_checker.hpp"
+#include "soak/fact_checker.hpp"
 #include "system/tcp_relay.hpp"
 
 #include <coltsfootrack/http/client.hpp>
--- a/test/system/cell_test.cpp
+++ b/test/system/cell_test.cpp
@@ -1,7 +1,7 @@
 // A cell of real processes against the stand-in of the users' platform: jobs
 // are taken, run and shown while daemons and the store fail.
 
-#include "soak/cell_cluster.hpp"
+#include "standins/cluster/cell_cluster.hpp"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <csignal>
