--- a/test/jobs/stored_rows_test.cpp
+++ b/test/jobs/stored_rows_test.cpp
@@ -136,11 +136,11 @@
 
     void other_text_is_an_error()
     {
+        const char* without_steps = R"({"queue":"q","submitted_ms":0,
+            "payload":"","steps":[]})";
         for (const char* text :
-             {"", "{", "[]", "{\"queue\":1}", "{\"state\":\"unheard\"}",
-              "{\"queue\":\"q\",\"submitted_ms\":0,\"payload\":\"\","
-              "\"steps\":[]}",
-              "{\"state\":\"running\",\"steps\":[[0]]}"})
+             {"", "{", "[]", R"({"queue":1})", R"({"state":"unheard"})",
+              without_steps, R"({"state":"running","steps":[[0]]})"})
         {
             CPPUNIT_ASSERT_MESSAGE(text, !decode_submission(text).ok());
             CPPUNIT_ASSERT_MESSAGE(text, !decode_progress(text).ok());
