Build the platform's stand-in with the tests under sanitizers

Cause: the first run of the whole checks on had 20 failures, the tests of the store in both sanitizer trees. They start standin-platform, which the new target unit-tests did not build. Ruled out: the tests themselves, which pass in the plain tree.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -45,6 +45,9 @@
     endif()
 endforeach()
 
+# The tests of the store start this program.
+add_dependencies(unit-tests standin-platform)
+
 # Benchmarks and measurement programs, one program per source.
 file(GLOB benches CONFIGURE_DEPENDS bench/*.cpp)
 foreach(source ${benches})
