--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -2,6 +2,7 @@
 #define COLTSFOOTRACK_CELL_CELL_DAEMON_HPP_INCLUDED
 
 #include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/cell/catalogue_catch_up.hpp>
 #include <coltsfootrack/cell/cell_options.hpp>
 #include <coltsfootrack/cell/job_table.hpp>
 #include <coltsfootrack/cell/leader_election.hpp>
@@ -153,7 +154,6 @@
 
     void send_status();
     void send_status_in_turn();
-    void catch_up(const base::daemon_id& peer, std::uint64_t version);
     void elect();
     void write_claim(const leader_row& claim);
     void lead(std::uint64_t epoch);
@@ -197,9 +197,7 @@
     std::map<std::uint64_t, relay> relays_;
     std::uint64_t next_nonce_ = 1;
     bool claiming_ = false;
-    // Since peers have had a newer catalogue, and when one was last asked.
-    std::optional<base::time_point> behind_since_;
-    base::time_point catalogue_asked_at_;
+    catalogue_catch_up catch_up_;
     std::uint64_t status_turn_ = 0;
     bool store_up_ = false;
     base::time_point store_answered_at_;
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -35,6 +35,7 @@
                 election_options())
     , dispatcher_(options.daemon, options.long_ticket)
     , committers_(options.job_parts)
+    , catch_up_(options.behind_time, options.catalogue_retry)
 {
 }
 
@@ -153,9 +154,14 @@
 void cell_daemon::submit(const base::job_id& id,
                          const jobs::job_submission& job, status_callback done)
 {
-    const std::string row = jobs::encode(job);
-    if (!loop_.try_post([this, id, row, done]
-                        { store_job(id, row, false, done); }))
+    auto event = [this, id, job, done]
+    {
+        jobs::job_submission stored = job;
+        const auto& leader = election_.row();
+        stored.leader_epoch = leader ? leader->epoch : 0;
+        store_job(id, jobs::encode(stored), false, done);
+    };
+    if (!loop_.try_post(std::move(event)))
     {
         done(base::make_error(base::error_kind::overloaded,
                               "the event queue of this daemon is full"));
@@ -171,110 +177,6 @@
     }
 }
 
-void cell_daemon::state(const base::job_id& id, state_callback done)
-{
-    auto event = [this, id, done]
-    {
-        if (leadership_ && leadership_->loaded())
-        {
-            const auto known = leadership_->state_of(id);
-            if (known)
-            {
-                done(*known);
-                return;
-            }
-            state_from_store(id, done);
-            return;
-        }
-        const auto& row = election_.row();
-        const std::uint64_t nonce = next_nonce_++;
-        if (!row || election_.is_self() ||
-            !links_->send(row->daemon, wire::state_query{nonce, id}))
-        {
-            state_from_store(id, done);
-            return;
-        }
-        questions_[nonce] = {id, done};
-        loop_.after(options_.query_limit,
-                    [this, nonce]
-                    {
-                        const auto found = questions_.find(nonce);
-                        if (found != questions_.end())
-                        {
-                            const question late = std::move(found->second);
-                            questions_.erase(found);
-                            state_from_store(late.job, late.done);
-                        }
-                    });
-    };
-    if (!loop_.try_post(std::move(event)))
-    {
-        done(base::make_error(base::error_kind::overloaded,
-                              "the event queue of this daemon is full"));
-    }
-}
-
-// Reads the progress first: a final state needs no second read.
-void cell_daemon::state_from_store(const base::job_id& id, state_callback done)
-{
-    const auto unavailable = base::make_error(
-        base::error_kind::store_unavailable, "the job cannot be looked up");
-    auto read_job = [this, id, done, unavailable]
-    {
-        outside_.store.read_row(
-            table_.job(id),
-            [this, done, unavailable](read_result result)
-            {
-                loop_.post(
-                    [done, unavailable, result = std::move(result)]
-                    {
-                        if (result.status != read_status::ok)
-                        {
-                            done(unavailable);
-                        }
-                        else if (result.rows.empty())
-                        {
-                            done(base::make_error(base::error_kind::not_found,
-                                                  "no such job"));
-                        }
-                        else
-                        {
-                            done(jobs::job_state::queued);
-                        }
-                    });
-            });
-    };
-    outside_.store.read_row(
-        table_.progress(id),
-        [this, done, read_job, unavailable](read_result result)
-        {
-            loop_.post(
-                [done, read_job, unavailable, result = std::move(result)]
-                {
-                    if (result.status != read_status::ok)
-                    {
-                        done(unavailable);
-                        return;
-                    }
-                    if (result.rows.empty())
-                    {
-                        read_job();
-                        return;
-                    }
-                    const auto progress =
-                        jobs::decode_progress(result.rows.front().value);
-                    if (progress.ok())
-                    {
-                        done(progress->state);
-                    }
-                    else
-                    {
-                        done(progress.status());
-                    }
-                });
-        });
-}
-
 void cell_daemon::commit()
 {
     const base::time_point now = clock_.now();
@@ -325,65 +227,4 @@
     }
 }
 
-void cell_daemon::follow_catalogue()
-{
-    table_follower::hooks callbacks;
-    callbacks.on_answer = [this](bool answered)
-    {
-        // The delay of a read that waits says nothing.
-        note_store(answered, election_.store_delay());
-    };
-    const auto take = [this](const std::vector<stored_row>& rows)
-    {
-        for (const stored_row& row : rows)
-        {
-            if (row.exists() && row.id.key == outside_.catalogue.key)
-            {
-                take_catalogue(row.value, "store");
-            }
-        }
-    };
-    callbacks.on_snapshot = take;
-    callbacks.on_changes = take;
-    catalogues_ = std::make_unique<table_follower>(
-        loop_, outside_.store, outside_.catalogue.table,
-        std::vector<std::string>{""}, options_.follow_wait,
-        std::chrono::milliseconds(0), std::move(callbacks));
-    catalogues_->start();
-}
-
-void cell_daemon::take_catalogue(const std::string& document, const char* from)
-{
-    auto read = outside_.catalogue.read(document);
-    if (!read.ok())
-    {
-        base::log(base::log_level::error, log_part,
-                  "Catalogue cannot be read. from={} error={}", from,
-                  std::string(read.status().message()));
-        return;
-    }
-    const auto known = catalogue();
-    if (known && read->version <= known->version)
-    {
-        return;
-    }
-    read->source = document;
-    behind_since_.reset();
-    const auto next =
-        std::make_shared<const fleet::catalogue>(*std::move(read));
-    base::log(base::log_level::info, log_part,
-              "Catalogue in force. version={} from={} queues={} teams={}",
-              next->version, from, next->queues.size(), next->teams.size());
-    {
-        const std::lock_guard<std::mutex> lock(mutex_);
-        published_.catalogue = next;
-    }
-    if (leadership_)
-    {
-        leadership_->set_catalogue(next);
-    }
-    // Peers that cannot read the store learn that there is a newer one.
-    send_status();
-}
-
 } // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/cell_daemon_catalogue.cpp
@@ -0,0 +1,98 @@
+// The catalogue of a cell daemon: from the store, or from a peer where the
+// store turns this daemon away.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/cell_daemon.hpp>
+
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "cell";
+
+} // namespace
+
+void cell_daemon::follow_catalogue()
+{
+    table_follower::hooks callbacks;
+    callbacks.on_answer = [this](bool answered)
+    {
+        // The delay of a read that waits says nothing.
+        note_store(answered, election_.store_delay());
+    };
+    const auto take = [this](const std::vector<stored_row>& rows)
+    {
+        for (const stored_row& row : rows)
+        {
+            if (row.exists() && row.id.key == outside_.catalogue.key)
+            {
+                take_catalogue(row.value, "store");
+            }
+        }
+    };
+    callbacks.on_snapshot = take;
+    callbacks.on_changes = take;
+    catalogues_ = std::make_unique<table_follower>(
+        loop_, outside_.store, outside_.catalogue.table,
+        std::vector<std::string>{""}, options_.follow_wait,
+        std::chrono::milliseconds(0), std::move(callbacks));
+    catalogues_->start();
+}
+
+void cell_daemon::take_catalogue(const std::string& document, const char* from)
+{
+    auto read = outside_.catalogue.read(document);
+    if (!read.ok())
+    {
+        base::log(base::log_level::error, log_part,
+                  "Catalogue cannot be read. from={} error={}", from,
+                  std::string(read.status().message()));
+        return;
+    }
+    const auto known = catalogue();
+    if (known && read->version <= known->version)
+    {
+        return;
+    }
+    read->source = document;
+    catch_up_.on_catalogue();
+    const auto next =
+        std::make_shared<const fleet::catalogue>(*std::move(read));
+    base::log(base::log_level::info, log_part,
+              "Catalogue in force. version={} from={} queues={} teams={}",
+              next->version, from, next->queues.size(), next->teams.size());
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        published_.catalogue = next;
+    }
+    if (leadership_)
+    {
+        leadership_->set_catalogue(next);
+    }
+    // Peers that cannot read the store learn that there is a newer one.
+    send_status();
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::catalogue_request& m)
+{
+    const auto known = catalogue();
+    if (known && m.version < known->version)
+    {
+        base::log(base::log_level::info, log_part,
+                  "Catalogue sent to a peer. peer={} version={} had={}",
+                  peer.text(), known->version, m.version);
+        links_->send(peer, wire::catalogue_copy{known->version, known->source});
+    }
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::catalogue_copy& m)
+{
+    take_catalogue(m.document, "peer");
+}
+
+} // namespace coltsfootrack::cell
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -19,9 +19,6 @@
 // The pause before a write that failed is tried again.
 constexpr std::chrono::milliseconds retry_pause{300};
 
-// What a peer of another region takes for a question, there and back.
-constexpr std::chrono::milliseconds peer_round_trip{60};
-
 } // namespace
 
 void cell_daemon::register_member()
@@ -309,9 +306,10 @@
         step_down("peer " + peer.text() + " knows a later epoch");
     }
     const auto known = catalogue();
-    if (known && m.catalogue_version < known->version)
+    if (catch_up_.on_status(m.catalogue_version, known ? known->version : 0,
+                            clock_.now()))
     {
-        links_->send(peer, wire::catalogue_copy{known->version, known->source});
+        links_->send(peer, wire::catalogue_request{known ? known->version : 0});
     }
     const auto& row = election_.row();
     if (m.leading && row && row->daemon == peer && m.epoch == row->epoch)
@@ -325,47 +323,6 @@
     }
 }
 
-// Asks a peer for a newer catalogue. The store tells all daemons of a change at
-// about the same time, so only one that stays behind asks, and one peer only: a
-// catalogue with some hundred routes is large.
-void cell_daemon::catch_up(const base::daemon_id& peer, std::uint64_t version)
-{
-    const auto known = catalogue();
-    const std::uint64_t own = known ? known->version : 0;
-    const base::time_point now = clock_.now();
-    if (version <= own)
-    {
-        return;
-    }
-    if (!behind_since_)
-    {
-        behind_since_ = now;
-    }
-    if (now - *behind_since_ < options_.behind_time ||
-        now - catalogue_asked_at_ < options_.catalogue_retry)
-    {
-        return;
-    }
-    catalogue_asked_at_ = now;
-    links_->send(peer, wire::catalogue_request{own});
-}
-
-void cell_daemon::handle(const base::daemon_id& peer,
-                         const wire::catalogue_request& m)
-{
-    const auto known = catalogue();
-    if (known && m.version < known->version)
-    {
-        links_->send(peer, wire::catalogue_copy{known->version, known->source});
-    }
-}
-
-void cell_daemon::handle(const base::daemon_id& /*peer*/,
-                         const wire::catalogue_copy& m)
-{
-    take_catalogue(m.document, "peer");
-}
-
 void cell_daemon::handle(const base::daemon_id& /*peer*/,
                          const wire::job_copy& m)
 {
@@ -384,35 +341,6 @@
     }
 }
 
-void cell_daemon::handle(const base::daemon_id& peer,
-                         const wire::state_query& m)
-{
-    const auto state =
-        leadership_ ? leadership_->state_of(m.job) : std::nullopt;
-    links_->send(peer, wire::state_answer{
-                           m.nonce, state ? std::string(jobs::name_of(*state))
-                                          : std::string()});
-}
-
-void cell_daemon::handle(const base::daemon_id& /*peer*/,
-                         const wire::state_answer& m)
-{
-    const auto found = questions_.find(m.nonce);
-    if (found == questions_.end())
-    {
-        return;
-    }
-    const question asked = std::move(found->second);
-    questions_.erase(found);
-    const auto state = jobs::state_named(m.state);
-    if (state)
-    {
-        asked.done(*state);
-        return;
-    }
-    state_from_store(asked.job, asked.done);
-}
-
 void cell_daemon::tell_leader(const wire::message& value)
 {
     if (leadership_)
@@ -428,104 +356,4 @@
     }
 }
 
-void cell_daemon::ask_tickets(
-    const fleet::ticket_order& next,
-    std::function<void(std::optional<std::vector<fleet::ticket_grant>>)> done)
-{
-    const base::daemon_id caller =
-        dispatcher_.take(next.expected, clock_.now());
-    const auto limit = next.expected + options_.ticket_slack;
-    if (caller == options_.daemon)
-    {
-        outside_.tickets(
-            next.step, next.workers, limit,
-            [this, caller,
-             done](std::optional<std::vector<fleet::ticket_grant>> grants)
-            {
-                loop_.post(
-                    [this, caller, done, grants = std::move(grants)]
-                    {
-                        dispatcher_.release(caller, clock_.now());
-                        done(grants);
-                    });
-            });
-        return;
-    }
-    wire::ticket_query query;
-    query.nonce = next_nonce_++;
-    query.job = next.step.job;
-    query.occurrence = static_cast<std::uint32_t>(next.step.occurrence);
-    query.step = static_cast<std::uint32_t>(next.step.step);
-    query.limit = limit;
-    query.workers = next.workers;
-    const auto finish =
-        [this](std::uint64_t nonce,
-               std::optional<std::vector<fleet::ticket_grant>> grants)
-    {
-        const auto found = ticket_questions_.find(nonce);
-        if (found != ticket_questions_.end())
-        {
-            const ticket_question asked = std::move(found->second);
-            ticket_questions_.erase(found);
-            dispatcher_.release(asked.peer, clock_.now());
-            asked.done(std::move(grants));
-        }
-    };
-    ticket_questions_[query.nonce] = {caller, std::move(done)};
-    if (!links_->send(caller, query))
-    {
-        loop_.post([finish, nonce = query.nonce]
-                   { finish(nonce, std::nullopt); });
-        return;
-    }
-    loop_.after(limit + peer_round_trip,
-                [finish, nonce = query.nonce] { finish(nonce, std::nullopt); });
-}
-
-void cell_daemon::handle(const base::daemon_id& peer,
-                         const wire::ticket_query& m)
-{
-    const jobs::step_key step{m.job, static_cast<int>(m.occurrence),
-                              static_cast<int>(m.step)};
-    outside_.tickets(step, m.workers, m.limit,
-                     [this, peer, nonce = m.nonce](
-                         std::optional<std::vector<fleet::ticket_grant>> grants)
-                     {
-                         wire::ticket_answer answer;
-                         answer.nonce = nonce;
-                         answer.answered = grants.has_value();
-                         for (fleet::ticket_grant& grant :
-                              grants ? *grants
-                                     : std::vector<fleet::ticket_grant>())
-                         {
-                             answer.grants.push_back(
-                                 {grant.worker, std::move(grant.ticket)});
-                         }
-                         links_->send(peer, answer);
-                     });
-}
-
-void cell_daemon::handle(const base::daemon_id& /*peer*/,
-                         const wire::ticket_answer& m)
-{
-    const auto found = ticket_questions_.find(m.nonce);
-    if (found == ticket_questions_.end())
-    {
-        return;
-    }
-    const ticket_question asked = std::move(found->second);
-    ticket_questions_.erase(found);
-    dispatcher_.release(asked.peer, clock_.now());
-    std::optional<std::vector<fleet::ticket_grant>> grants;
-    if (m.answered)
-    {
-        grants.emplace();
-        for (const wire::granted_ticket& grant : m.grants)
-        {
-            grants->push_back({grant.worker, grant.ticket});
-        }
-    }
-    asked.done(std::move(grants));
-}
-
 } // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/cell_daemon_queries.cpp
@@ -0,0 +1,251 @@
+// Questions between daemons: the states of jobs and placement tickets.
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/cell/cell_daemon.hpp>
+
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+// What a peer of another region takes for a question, there and back.
+constexpr std::chrono::milliseconds peer_round_trip{60};
+
+} // namespace
+
+void cell_daemon::state(const base::job_id& id, state_callback done)
+{
+    auto event = [this, id, done]
+    {
+        if (leadership_ && leadership_->loaded())
+        {
+            const auto known = leadership_->state_of(id);
+            if (known)
+            {
+                done(*known);
+                return;
+            }
+            state_from_store(id, done);
+            return;
+        }
+        const auto& row = election_.row();
+        const std::uint64_t nonce = next_nonce_++;
+        if (!row || election_.is_self() ||
+            !links_->send(row->daemon, wire::state_query{nonce, id}))
+        {
+            state_from_store(id, done);
+            return;
+        }
+        questions_[nonce] = {id, done};
+        loop_.after(options_.query_limit,
+                    [this, nonce]
+                    {
+                        const auto found = questions_.find(nonce);
+                        if (found != questions_.end())
+                        {
+                            const question late = std::move(found->second);
+                            questions_.erase(found);
+                            state_from_store(late.job, late.done);
+                        }
+                    });
+    };
+    if (!loop_.try_post(std::move(event)))
+    {
+        done(base::make_error(base::error_kind::overloaded,
+                              "the event queue of this daemon is full"));
+    }
+}
+
+// Reads the progress first: a final state needs no second read.
+void cell_daemon::state_from_store(const base::job_id& id, state_callback done)
+{
+    const auto unavailable = base::make_error(
+        base::error_kind::store_unavailable, "the job cannot be looked up");
+    auto read_job = [this, id, done, unavailable]
+    {
+        outside_.store.read_row(
+            table_.job(id),
+            [this, done, unavailable](read_result result)
+            {
+                loop_.post(
+                    [done, unavailable, result = std::move(result)]
+                    {
+                        if (result.status != read_status::ok)
+                        {
+                            done(unavailable);
+                        }
+                        else if (result.rows.empty())
+                        {
+                            done(base::make_error(base::error_kind::not_found,
+                                                  "no such job"));
+                        }
+                        else
+                        {
+                            done(jobs::job_state::queued);
+                        }
+                    });
+            });
+    };
+    outside_.store.read_row(
+        table_.progress(id),
+        [this, done, read_job, unavailable](read_result result)
+        {
+            loop_.post(
+                [done, read_job, unavailable, result = std::move(result)]
+                {
+                    if (result.status != read_status::ok)
+                    {
+                        done(unavailable);
+                        return;
+                    }
+                    if (result.rows.empty())
+                    {
+                        read_job();
+                        return;
+                    }
+                    const auto progress =
+                        jobs::decode_progress(result.rows.front().value);
+                    if (progress.ok())
+                    {
+                        done(progress->state);
+                    }
+                    else
+                    {
+                        done(progress.status());
+                    }
+                });
+        });
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::state_query& m)
+{
+    const auto state =
+        leadership_ ? leadership_->state_of(m.job) : std::nullopt;
+    links_->send(peer, wire::state_answer{
+                           m.nonce, state ? std::string(jobs::name_of(*state))
+                                          : std::string()});
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::state_answer& m)
+{
+    const auto found = questions_.find(m.nonce);
+    if (found == questions_.end())
+    {
+        return;
+    }
+    const question asked = std::move(found->second);
+    questions_.erase(found);
+    const auto state = jobs::state_named(m.state);
+    if (state)
+    {
+        asked.done(*state);
+        return;
+    }
+    state_from_store(asked.job, asked.done);
+}
+
+void cell_daemon::ask_tickets(
+    const fleet::ticket_order& next,
+    std::function<void(std::optional<std::vector<fleet::ticket_grant>>)> done)
+{
+    const base::daemon_id caller =
+        dispatcher_.take(next.expected, clock_.now());
+    const auto limit = next.expected + options_.ticket_slack;
+    if (caller == options_.daemon)
+    {
+        outside_.tickets(
+            next.step, next.workers, limit,
+            [this, caller,
+             done](std::optional<std::vector<fleet::ticket_grant>> grants)
+            {
+                loop_.post(
+                    [this, caller, done, grants = std::move(grants)]
+                    {
+                        dispatcher_.release(caller, clock_.now());
+                        done(grants);
+                    });
+            });
+        return;
+    }
+    wire::ticket_query query;
+    query.nonce = next_nonce_++;
+    query.job = next.step.job;
+    query.occurrence = static_cast<std::uint32_t>(next.step.occurrence);
+    query.step = static_cast<std::uint32_t>(next.step.step);
+    query.limit = limit;
+    query.workers = next.workers;
+    const auto finish =
+        [this](std::uint64_t nonce,
+               std::optional<std::vector<fleet::ticket_grant>> grants)
+    {
+        const auto found = ticket_questions_.find(nonce);
+        if (found != ticket_questions_.end())
+        {
+            const ticket_question asked = std::move(found->second);
+            ticket_questions_.erase(found);
+            dispatcher_.release(asked.peer, clock_.now());
+            asked.done(std::move(grants));
+        }
+    };
+    ticket_questions_[query.nonce] = {caller, std::move(done)};
+    if (!links_->send(caller, query))
+    {
+        loop_.post([finish, nonce = query.nonce]
+                   { finish(nonce, std::nullopt); });
+        return;
+    }
+    loop_.after(limit + peer_round_trip,
+                [finish, nonce = query.nonce] { finish(nonce, std::nullopt); });
+}
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::ticket_query& m)
+{
+    const jobs::step_key step{m.job, static_cast<int>(m.occurrence),
+                              static_cast<int>(m.step)};
+    outside_.tickets(step, m.workers, m.limit,
+                     [this, peer, nonce = m.nonce](
+                         std::optional<std::vector<fleet::ticket_grant>> grants)
+                     {
+                         wire::ticket_answer answer;
+                         answer.nonce = nonce;
+                         answer.answered = grants.has_value();
+                         for (fleet::ticket_grant& grant :
+                              grants ? *grants
+                                     : std::vector<fleet::ticket_grant>())
+                         {
+                             answer.grants.push_back(
+                                 {grant.worker, std::move(grant.ticket)});
+                         }
+                         links_->send(peer, answer);
+                     });
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::ticket_answer& m)
+{
+    const auto found = ticket_questions_.find(m.nonce);
+    if (found == ticket_questions_.end())
+    {
+        return;
+    }
+    const ticket_question asked = std::move(found->second);
+    ticket_questions_.erase(found);
+    dispatcher_.release(asked.peer, clock_.now());
+    std::optional<std::vector<fleet::ticket_grant>> grants;
+    if (m.answered)
+    {
+        grants.emplace();
+        for (const wire::granted_ticket& grant : m.grants)
+        {
+            grants->push_back({grant.worker, grant.ticket});
+        }
+    }
+    asked.done(std::move(grants));
+}
+
+} // namespace coltsfootrack::cell
--- a/test/standins/cluster/cell_cluster.cpp
+++ b/test/standins/cluster/cell_cluster.cpp
@@ -121,7 +121,7 @@
         {"stretch", 2.0},
         {"advice", {{"decide_ms", 10}, {"each_ms", 0.1}, {"valid_ms", 1500}}}};
     const json config = {
-        {"version", 1},
+        {"version", ++config_version_},
         {"routes", {route}},
         {"services", {{{"name", "s"}, {"enforces_capacity", false}}}},
         {"tenants", {{{"name", "t"}, {"api_keys", {key}}, {"weight", 100}}}}};
@@ -131,6 +131,12 @@
              {"value", config.dump()}});
 }
 
+int cell_cluster::change_config()
+{
+    write_config();
+    return config_version_;
+}
+
 void cell_cluster::write_settings(hosted& daemon, int number)
 {
     const std::uint16_t peer = free_port();
--- a/test/standins/cluster/cell_cluster.hpp
+++ b/test/standins/cluster/cell_cluster.hpp
@@ -59,6 +59,9 @@
     // Faults of a worker, as the stand-in takes them.
     void worker_faults(int number, nlohmann::json faults);
 
+    // Writes the desired state again under the next version, which it returns.
+    int change_config();
+
     // The store drops its history of changes.
     void compact_store();
 
@@ -104,6 +107,7 @@
     http::client client_;
     std::unique_ptr<local_cluster::child_process> platform_;
     nlohmann::json ports_;
+    int config_version_ = 0;
     std::vector<hosted> daemons_;
 };
 
--- a/test/system/cell_test.cpp
+++ b/test/system/cell_test.cpp
@@ -133,6 +133,7 @@
     CPPUNIT_TEST(cell_store_turns_daemon_away_peer_stores);
     CPPUNIT_TEST(cell_store_down_refuses_at_once);
     CPPUNIT_TEST(cell_planned_stop_ends_in_time);
+    CPPUNIT_TEST(cell_daemon_cut_from_store_gets_catalogue_from_one_peer);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -286,6 +287,38 @@
         CPPUNIT_ASSERT(status.has_value());
         CPPUNIT_ASSERT_EQUAL(0, *status);
     }
+
+    // Guards against copies from every peer, which fill the links of a large
+    // cell.
+    void cell_daemon_cut_from_store_gets_catalogue_from_one_peer()
+    {
+        running_cell cell("catalogue");
+        cell.cluster.cut_store(2, true);
+        const int version = cell.cluster.change_config();
+        const std::string taken =
+            "event=\"Catalogue in force\" version=" + std::to_string(version) +
+            " from=peer";
+        CPPUNIT_ASSERT(wait_until(
+            [&] {
+                return cell.cluster.daemon(2).output().find(taken) !=
+                       std::string::npos;
+            },
+            milliseconds(2500)));
+        // Some more statuses of each peer.
+        std::this_thread::sleep_for(milliseconds(1000));
+        int copies = 0;
+        for (int i = 0; i < 2; ++i)
+        {
+            const std::string& output = cell.cluster.daemon(i).output();
+            const std::string sent = "event=\"Catalogue sent to a peer\"";
+            for (auto at = output.find(sent); at != std::string::npos;
+                 at = output.find(sent, at + 1))
+            {
+                ++copies;
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL(1, copies);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(cell_test);
