Keep jobs of a former leader waiting until every worker has reported

Ruled out: waiting with every job until all workers have reported, which would stop a service for the length of a lease whenever a worker is silent at a change of the leader.

Change: the row names the epoch of the leader that the storing daemon knew. Only the leader of that epoch starts the job while workers are unknown; an earlier leader that meets such a row steps down.

Tests: leadership_test, with a store in memory and scripted workers.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -102,6 +102,7 @@
     void load_progress(std::size_t part, const std::string& from);
     void follow_jobs();
     void follow_workers();
+    void add_stored_job(const base::job_id& id, const std::string& row);
     void take_job_rows(const std::vector<stored_row>& rows);
     void take_worker_rows(const std::vector<stored_row>& rows, bool all);
     void step();
@@ -130,7 +131,6 @@
     daemon::metrics& metrics_;
     hooks hooks_;
     fleet::fleet fleet_;
-    std::vector<std::uint64_t> fences_;
     std::size_t parts_loaded_ = 0;
     std::map<base::job_id, jobs::job_progress> progress_;
     std::unique_ptr<table_follower> jobs_;
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -70,8 +70,8 @@
     std::vector<std::vector<step_record>> occurrences;
     jobs::job_state state = jobs::job_state::queued;
     bool cancelled = false;
-    // Accepted before this leader was elected, so that a former leader may
-    // have started its tasks.
+    // Stored under a former leader or none, so that a former leader may have
+    // started its tasks.
     bool inherited = false;
     // A task has started.
     bool begun = false;
--- a/include/coltsfootrack/jobs/job_submission.hpp
+++ b/include/coltsfootrack/jobs/job_submission.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/status/statusor.h>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -21,12 +22,17 @@
     base::team_id team;
     // The time of day at the daemon that took the job.
     std::chrono::system_clock::time_point submitted;
+    // The epoch of the leader that the daemon knew; 0 for none. Only that
+    // leader may start the job before it knows what runs on every worker: an
+    // earlier one finds the row too, and may start it where a later one has
+    // not looked yet.
+    std::uint64_t leader_epoch = 0;
     job_spec spec;
 
     friend bool operator==(const job_submission& a, const job_submission& b)
     {
-        return std::tie(a.queue, a.team, a.submitted, a.spec) ==
-               std::tie(b.queue, b.team, b.submitted, b.spec);
+        return std::tie(a.queue, a.team, a.submitted, a.leader_epoch, a.spec) ==
+               std::tie(b.queue, b.team, b.submitted, b.leader_epoch, b.spec);
     }
 
     friend bool operator!=(const job_submission& a, const job_submission& b)
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -45,7 +45,6 @@
     , metrics_(counters)
     , hooks_(std::move(callbacks))
     , fleet_(options_.fleet, clock.now())
-    , fences_(table.parts(), 0)
     , last_step_(clock.now())
     , alive_(std::make_shared<bool>(true))
 {
@@ -106,6 +105,12 @@
         early_jobs_[id] = row;
         return;
     }
+    add_stored_job(id, row);
+    request_step();
+}
+
+void leadership::add_stored_job(const base::job_id& id, const std::string& row)
+{
     const auto job = jobs::decode_submission(row);
     if (!job.ok())
     {
@@ -114,10 +119,16 @@
                   std::string(job.status().message()));
         return;
     }
-    // A job that came since the parts were fenced: no former leader has
-    // started it.
-    fleet_.add_job(id, *job, {}, false, clock_.now(), clock_.wall());
-    request_step();
+    if (job->leader_epoch > epoch())
+    {
+        lose("a job was stored under a later leader");
+        return;
+    }
+    const auto stored = progress_.find(id);
+    fleet_.add_job(id, *job,
+                   stored == progress_.end() ? jobs::job_progress()
+                                             : stored->second,
+                   job->leader_epoch != epoch(), clock_.now(), clock_.wall());
 }
 
 void leadership::on_cancel(const base::job_id& id)
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -130,7 +130,6 @@
     {
         return;
     }
-    fences_[part] = version;
     hooks_.committer(part).set_fence(
         row_condition{table_.fence(part), version});
     load_progress(part, "");
@@ -222,7 +221,6 @@
 
 void leadership::take_job_rows(const std::vector<stored_row>& rows)
 {
-    const base::time_point now = clock_.now();
     std::vector<base::job_id> cancelled;
     for (const stored_row& row : rows)
     {
@@ -240,24 +238,11 @@
         {
             continue;
         }
-        const auto job = jobs::decode_submission(row.value);
-        if (!job.ok())
-        {
-            base::log(base::log_level::error, log_part,
-                      "Job row cannot be read. job={} error={}", id.text(),
-                      std::string(job.status().message()));
-            continue;
-        }
-        const auto stored = progress_.find(id);
-        const bool inherited = row.version <= fences_[table_.part_of(id)];
-        fleet_.add_job(id, *job,
-                       stored == progress_.end() ? jobs::job_progress()
-                                                 : stored->second,
-                       inherited, now, clock_.wall());
+        add_stored_job(id, row.value);
     }
     for (const base::job_id& id : cancelled)
     {
-        fleet_.cancel_job(id, now);
+        fleet_.cancel_job(id, clock_.now());
     }
 }
 
--- /dev/null
+++ b/test/cell/leadership_test.cpp
@@ -0,0 +1,106 @@
+// A new leader and the jobs that it finds. Guards against two runs of a task at
+// the same time: a former leader that still reaches a worker which the new one
+// has not looked at yet.
+
+#include "leadership_world.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t epoch = 5;
+
+// Long enough for everything but the end of a lease, which is 5 s.
+constexpr milliseconds soon{1000};
+
+} // namespace
+
+class leadership_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(leadership_test);
+    CPPUNIT_TEST(leader_job_of_its_epoch_starts_beside_silent_worker);
+    CPPUNIT_TEST(leader_job_of_former_epoch_waits_for_silent_worker);
+    CPPUNIT_TEST(leader_job_found_after_the_fence_waits_for_silent_worker);
+    CPPUNIT_TEST(leader_job_of_no_leader_waits_for_silent_worker);
+    CPPUNIT_TEST(leader_all_workers_answer_starts_every_job);
+    CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void leader_job_of_its_epoch_starts_beside_silent_worker()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.add_worker("w2", false);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        world.send_job("own", epoch);
+        CPPUNIT_ASSERT(world.started("own", soon));
+    }
+
+    void leader_job_of_former_epoch_waits_for_silent_worker()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.add_worker("w2", false);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        world.send_job("former", epoch - 1);
+        CPPUNIT_ASSERT(!world.started("former", soon));
+    }
+
+    // The daemon that stored it has told the former leader.
+    void leader_job_found_after_the_fence_waits_for_silent_worker()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.add_worker("w2", false);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        world.run([&] { world.put_job("former", epoch - 1); });
+        CPPUNIT_ASSERT(!world.started("former", soon));
+    }
+
+    void leader_job_of_no_leader_waits_for_silent_worker()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.add_worker("w2", false);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        world.run([&] { world.put_job("unled", 0); });
+        CPPUNIT_ASSERT(!world.started("unled", soon));
+    }
+
+    void leader_all_workers_answer_starts_every_job()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.add_worker("w2", true);
+        world.put_job("before", epoch - 1);
+        world.begin();
+        CPPUNIT_ASSERT(world.started("before", soon));
+        world.run([&] { world.put_job("unled", 0); });
+        CPPUNIT_ASSERT(world.started("unled", soon));
+    }
+
+    void leader_job_of_later_epoch_steps_down()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        world.run([&] { world.put_job("later", epoch + 1); });
+        CPPUNIT_ASSERT(world.lost(soon));
+        CPPUNIT_ASSERT(!world.started("later", milliseconds(100)));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(leadership_test);
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/test/cell/leadership_world.cpp
@@ -0,0 +1,254 @@
+#include "leadership_world.hpp"
+
+#include <algorithm>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr const char* worker_table = "workers";
+const base::service_id service("s");
+
+} // namespace
+
+leadership_world::leadership_world(std::uint64_t epoch)
+    : table_(parts)
+    , loop_(clock_, 4096)
+    , outside_(make_ports())
+    , committers_(parts)
+{
+    cell_options options;
+    options.job_parts = parts;
+    options.follow_pause = milliseconds(5);
+    leadership::hooks callbacks;
+    callbacks.on_lost = [this](const std::string& /*reason*/)
+    {
+        lost_ = true;
+    };
+    callbacks.committer = [this](std::size_t part) -> row_committer&
+    {
+        return committers_[part];
+    };
+    callbacks.commit = [this]
+    {
+        commit();
+    };
+    callbacks.ticket_slots = []
+    {
+        return fleet::ticket_slots();
+    };
+    callbacks.on_store = [](bool /*answered*/) {
+    };
+    leadership_ =
+        std::make_unique<leadership>(loop_, clock_, options, outside_, table_,
+                                     metrics_, epoch, std::move(callbacks));
+    auto value = std::make_shared<fleet::catalogue>();
+    value->version = 1;
+    fleet::queue_policy queue;
+    queue.name = "q";
+    queue.service = service;
+    queue.max_attempts = 3;
+    value->queues["q"] = queue;
+    value->services[service].service = service;
+    leadership_->set_catalogue(value);
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+leadership_world::~leadership_world()
+{
+    run([this] { leadership_.reset(); });
+    loop_.stop();
+    thread_.join();
+}
+
+ports leadership_world::make_ports()
+{
+    ports made;
+    made.store.transact = [this](const transaction& value, const auto& done)
+    {
+        done(store_.apply(value));
+    };
+    made.store.read_row = [this](const row_id& id, const auto& done)
+    {
+        read_result result;
+        result.status = read_status::ok;
+        result.version = store_.version();
+        if (const stored_row row = store_.read(id); row.exists())
+        {
+            result.rows.push_back(row);
+        }
+        done(result);
+    };
+    made.store.read = [this](const std::string& table, const std::string& part,
+                             const std::string& from, const auto& done)
+    {
+        read_result result;
+        result.status = read_status::ok;
+        result.version = store_.version();
+        for (const auto& [id, row] : store_.rows())
+        {
+            if (id.table == table && id.part == part && id.key >= from)
+            {
+                result.rows.push_back(row);
+            }
+        }
+        done(result);
+    };
+    made.store.follow = [this](const std::string& table, std::uint64_t after,
+                               milliseconds /*wait*/, const auto& done)
+    {
+        constexpr int attempts = 20;
+        answer_follow(table, after, attempts, done);
+    };
+    made.workers.list_table = worker_table;
+    made.workers.read_listing = [](const std::string& key,
+                                   const std::string& /*value*/)
+        -> absl::StatusOr<fleet::worker_listing>
+    {
+        fleet::worker_listing listing;
+        listing.worker = base::worker_id(key);
+        listing.service = service;
+        listing.capacity = {8000, 8000, 0};
+        return listing;
+    };
+    made.workers.renew = [this](const fleet::worker_listing& worker,
+                                const lease_renewal& /*renewal*/,
+                                const auto& done)
+    {
+        renewal_result result;
+        result.report.life = 1;
+        result.outcome = silent_.count(worker.worker.text()) != 0
+                             ? fleet::order_outcome::unhealthy
+                             : fleet::order_outcome::carried_out;
+        loop_.after(milliseconds(10), [done, result] { done(result); });
+    };
+    made.workers.start = [this](const fleet::worker_listing& /*worker*/,
+                                std::uint64_t /*epoch*/,
+                                const fleet::start_order& order,
+                                milliseconds /*lease_end*/, const auto& done)
+    {
+        starts_.push_back(order);
+        done(fleet::order_outcome::carried_out);
+    };
+    made.workers.stop = [](const fleet::worker_listing& /*worker*/,
+                           std::uint64_t /*epoch*/,
+                           const fleet::stop_order& /*order*/, const auto& done)
+    {
+        done(fleet::order_outcome::carried_out);
+    };
+    return made;
+}
+
+// Answers once something has changed, or after some attempts.
+void leadership_world::answer_follow(const std::string& table,
+                                     std::uint64_t after, int attempts,
+                                     store_port::read_callback done)
+{
+    read_result result;
+    result.status = read_status::ok;
+    result.version = store_.version();
+    for (const auto& [id, row] : store_.rows())
+    {
+        if (id.table == table && row.version > after)
+        {
+            result.rows.push_back(row);
+        }
+    }
+    if (!result.rows.empty() || attempts == 0)
+    {
+        done(result);
+        return;
+    }
+    loop_.after(milliseconds(5), [this, table, after, attempts, done]
+                { answer_follow(table, after, attempts - 1, done); });
+}
+
+void leadership_world::commit()
+{
+    for (row_committer& committer : committers_)
+    {
+        if (const auto next = committer.next(clock_.now()))
+        {
+            committer.on_result(store_.apply(*next), clock_.now());
+        }
+    }
+}
+
+void leadership_world::add_worker(const std::string& id, bool answers)
+{
+    store_.put({worker_table, "", id}, "");
+    if (!answers)
+    {
+        silent_.insert(id);
+    }
+}
+
+std::string leadership_world::job_row(std::uint64_t leader_epoch)
+{
+    jobs::job_submission job;
+    job.queue = "q";
+    job.leader_epoch = leader_epoch;
+    jobs::step_spec step;
+    step.tasks = 1;
+    step.need = {1000, 100, 0};
+    step.estimate = milliseconds(1000);
+    job.spec.steps = {step};
+    return jobs::encode(job);
+}
+
+void leadership_world::put_job(const std::string& id,
+                               std::uint64_t leader_epoch)
+{
+    store_.put(table_.job(base::job_id(id)), job_row(leader_epoch));
+}
+
+void leadership_world::send_job(const std::string& id,
+                                std::uint64_t leader_epoch)
+{
+    run([&] { leadership_->on_job(base::job_id(id), job_row(leader_epoch)); });
+}
+
+void leadership_world::begin()
+{
+    run([this] { leadership_->begin(); });
+}
+
+template <class Holds>
+bool leadership_world::wait_for(Holds holds, milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    bool held = false;
+    do
+    {
+        run([&] { held = holds(); });
+        std::this_thread::sleep_for(milliseconds(2));
+    } while (!held && std::chrono::steady_clock::now() < end);
+    return held;
+}
+
+bool leadership_world::started(const std::string& job, milliseconds limit)
+{
+    return wait_for(
+        [&]
+        {
+            return std::any_of(starts_.begin(), starts_.end(),
+                               [&](const fleet::start_order& order)
+                               { return order.task.step.job.text() == job; });
+        },
+        limit);
+}
+
+bool leadership_world::lost(milliseconds limit)
+{
+    return wait_for([this] { return lost_; }, limit);
+}
+
+bool leadership_world::wait_loaded(milliseconds limit)
+{
+    return wait_for([this] { return leadership_->loaded(); }, limit);
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/test/cell/leadership_world.hpp
@@ -0,0 +1,89 @@
+#ifndef COLTSFOOTRACK_TEST_CELL_LEADERSHIP_WORLD_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_CELL_LEADERSHIP_WORLD_HPP_INCLUDED
+
+#include "naive_store.hpp"
+
+#include <coltsfootrack/base/system_clock.hpp>
+#include <coltsfootrack/cell/leadership.hpp>
+
+#include <future>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// A leadership on a control thread of its own, with a store in memory and
+// workers that answer at once, or not at all. One queue "q" on one service;
+// a worker's row holds nothing, its key is its id.
+class leadership_world
+{
+public:
+    static constexpr std::size_t parts = 2;
+
+    explicit leadership_world(std::uint64_t epoch);
+    ~leadership_world();
+
+    leadership_world(const leadership_world&) = delete;
+    leadership_world& operator=(const leadership_world&) = delete;
+
+    // To be called before begin(), or inside run().
+    void add_worker(const std::string& id, bool answers);
+    void put_job(const std::string& id, std::uint64_t leader_epoch);
+
+    void begin();
+
+    // Runs a function on the control thread and waits for it.
+    template <class Action>
+    void run(Action action)
+    {
+        std::promise<void> done;
+        loop_.post(
+            [&]
+            {
+                action();
+                done.set_value();
+            });
+        done.get_future().wait();
+    }
+
+    // Hands the row of a job in as a peer that has stored it would.
+    void send_job(const std::string& id, std::uint64_t leader_epoch);
+
+    // Waits until a job has been started, at most for the span.
+    bool started(const std::string& job, std::chrono::milliseconds limit);
+
+    // Waits until the leadership was lost, at most for the span.
+    bool lost(std::chrono::milliseconds limit);
+
+    bool wait_loaded(std::chrono::milliseconds limit);
+
+private:
+    template <class Holds>
+    bool wait_for(Holds holds, std::chrono::milliseconds limit);
+    ports make_ports();
+    void answer_follow(const std::string& table, std::uint64_t after,
+                       int attempts, store_port::read_callback done);
+    void commit();
+    static std::string job_row(std::uint64_t leader_epoch);
+
+    base::system_clock clock_;
+    job_table table_;
+    daemon::control_loop loop_;
+    daemon::metrics metrics_;
+    naive_store store_;
+    std::set<std::string> silent_;
+    std::vector<fleet::start_order> starts_;
+    bool lost_ = false;
+    ports outside_;
+    std::vector<row_committer> committers_;
+    std::unique_ptr<leadership> leadership_;
+    std::thread thread_;
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
