--- /dev/null
+++ b/src/fleet/fleet_candidates.cpp
@@ -0,0 +1,181 @@
+// Which steps have tasks to start, in which order, and which workers take
+// tasks.
+
+#include "candidate.hpp"
+
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::fleet
+{
+namespace
+{
+
+// Ranks of steps: the priority of the queue, and these on top. A late job is
+// worth a fifth of one on time, so it goes behind the next two priorities; work
+// beyond the share of its team and work of no use any more goes last.
+constexpr int late_rank = 2;
+constexpr int over_share_rank = 10;
+constexpr int useless_rank = 100;
+
+int rank_of(const job_record& job, const queue_policy& queue, bool standing,
+            base::time_point now)
+{
+    int rank = queue.priority;
+    if (!standing && now > job.late_end)
+    {
+        rank += useless_rank;
+    }
+    else if (!standing && now > job.due)
+    {
+        rank += late_rank;
+    }
+    return job.over_share ? rank + over_share_rank : rank;
+}
+
+} // namespace
+
+bool fleet::step_ready(const job_record& job, std::size_t occurrence,
+                       const jobs::step_spec& spec) const
+{
+    const auto& steps = job.occurrences[occurrence];
+    return std::all_of(
+        spec.after.begin(), spec.after.end(),
+        [&](int earlier)
+        {
+            const step_record& step = steps[static_cast<std::size_t>(earlier)];
+            return step.done == static_cast<int>(step.tasks.size());
+        });
+}
+
+// Whether the steps before it run already and should end while tickets for
+// this one are being decided.
+bool fleet::step_soon(const job_record& job, std::size_t occurrence,
+                      const jobs::step_spec& spec, const queue_policy& queue,
+                      base::time_point now) const
+{
+    if (!queue.tickets)
+    {
+        return false;
+    }
+    // What the request takes besides the decision.
+    constexpr std::chrono::milliseconds lead{250};
+    const auto ahead =
+        std::chrono::duration_cast<base::duration>(queue.tickets->decide_time) +
+        lead;
+    const auto& steps = job.occurrences[occurrence];
+    for (const int earlier : spec.after)
+    {
+        const step_record& step = steps[static_cast<std::size_t>(earlier)];
+        if (step.done + step.active < static_cast<int>(step.tasks.size()))
+        {
+            return false;
+        }
+        const bool running = step.done < static_cast<int>(step.tasks.size());
+        if (running &&
+            now - step.first_start + ahead < spec_of(job, earlier).estimate)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<candidate> fleet::candidates(base::time_point now)
+{
+    find_open_workers(now);
+    std::vector<candidate> found;
+    for (auto& [id, job] : jobs_)
+    {
+        if (job.final_state() || job.queue == nullptr)
+        {
+            continue;
+        }
+        service_round& round = rounds_[job.queue->service];
+        if (!job.inherited || !round.unsettled)
+        {
+            add_candidates(job, round, now, found);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    return found;
+}
+
+void fleet::add_candidates(job_record& job, service_round& round,
+                           base::time_point now,
+                           std::vector<candidate>& found) const
+{
+    for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+    {
+        for (std::size_t s = 0; s < job.occurrences[k].size(); ++s)
+        {
+            step_record& step = job.occurrences[k][s];
+            const int total = static_cast<int>(step.tasks.size());
+            if (step.done + step.active >= total)
+            {
+                continue;
+            }
+            const jobs::step_spec& spec = spec_of(job, static_cast<int>(s));
+            const bool ready = step_ready(job, k, spec);
+            if (!ready && !step_soon(job, k, spec, *job.queue, now))
+            {
+                continue;
+            }
+            candidate next;
+            for (int i = 0; ready && i < total; ++i)
+            {
+                const task_record& task =
+                    step.tasks[static_cast<std::size_t>(i)];
+                if (!task.done && !task.worker && now >= task.not_before)
+                {
+                    next.pending.push_back(i);
+                }
+            }
+            if (spec.gang && ready &&
+                static_cast<int>(next.pending.size()) < total)
+            {
+                continue;
+            }
+            next.job = &job;
+            next.queue = job.queue;
+            next.round = &round;
+            next.record = &step;
+            next.spec = &spec;
+            next.key = {job.id, static_cast<int>(k), static_cast<int>(s)};
+            next.rank = rank_of(job, *job.queue, spec.standing, now);
+            next.due = job.due;
+            found.push_back(std::move(next));
+        }
+    }
+}
+
+// The workers that take tasks in this round, by service. A step asks beside
+// this only for a label.
+void fleet::find_open_workers(base::time_point now)
+{
+    rounds_.clear();
+    for (auto& [id, worker] : workers_)
+    {
+        service_round& round = rounds_[worker.listing.service];
+        round.unsettled = round.unsettled ||
+                          (!worker.synced && !worker.lease.over(now, since_));
+        worker.kept_for = nullptr;
+        worker.promised = base::resources();
+        for (const auto& [key, run] : worker.runs)
+        {
+            if (run.phase == run_phase::stopping)
+            {
+                worker.promised += run.room;
+            }
+        }
+        if (worker.listed && worker.synced && !worker.silent &&
+            worker.unmeasured == 0 && !worker.listing.leaving &&
+            now >= worker.avoided_until)
+        {
+            round.open.push_back(&worker);
+        }
+    }
+}
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/src/fleet/fleet_ends.cpp
@@ -0,0 +1,54 @@
+// What the ends of runs mean for their jobs.
+
+#include <coltsfootrack/fleet/fleet.hpp>
+
+namespace coltsfootrack::fleet
+{
+
+void fleet::apply_done(job_record& job, const jobs::task_key& key)
+{
+    step_record& step = *find_step(key.step);
+    const jobs::step_spec& spec = spec_of(job, key.step.step);
+    if (job.final_state() || spec.standing)
+    {
+        return;
+    }
+    const bool all = spec.gang;
+    for (std::size_t i = 0; i < step.tasks.size(); ++i)
+    {
+        if ((all || static_cast<int>(i) == key.index) && !step.tasks[i].done)
+        {
+            step.tasks[i].done = true;
+            ++step.done;
+            mark_changed(job);
+        }
+    }
+}
+
+void fleet::apply_failure(job_record& job, const run_end& end,
+                          base::time_point now)
+{
+    const jobs::step_spec& spec = spec_of(job, end.task.step.step);
+    if (job.final_state() || spec.standing)
+    {
+        return;
+    }
+    // The members of a gang share their runs, so their failures are counted
+    // at the first one.
+    jobs::task_key counted = end.task;
+    counted.index = spec.gang ? 0 : end.task.index;
+    task_record& task = *find_task(counted);
+    if (task.done || !task.failures.insert(end.run).second)
+    {
+        return;
+    }
+    mark_changed(job);
+    const queue_policy* queue = job.queue;
+    if (queue != nullptr &&
+        static_cast<int>(task.failures.size()) >= queue->max_attempts)
+    {
+        finish_job(job, jobs::job_state::failed, now);
+    }
+}
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/src/fleet/fleet_placement.cpp
@@ -0,0 +1,153 @@
+// Where a task may run, and what a worker costs it.
+
+#include "candidate.hpp"
+#include "placement_cost.hpp"
+
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace coltsfootrack::fleet
+{
+bool fleet::any_room(const candidate& next) const
+{
+    return std::any_of(next.round->open.begin(), next.round->open.end(),
+                       [&](const worker_record* worker)
+                       { return has_room(*worker, next); });
+}
+
+bool fleet::usable(const worker_record& worker, const candidate& next) const
+{
+    const std::string& label = next.spec->required_label;
+    const auto& labels = worker.listing.labels;
+    return label.empty() ||
+           std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool fleet::has_room(const worker_record& worker, const candidate& next) const
+{
+    const jobs::step_spec& spec = *next.spec;
+    base::resources room = spec.need;
+    const base::resources& capacity = worker.listing.capacity;
+    if (spec.uses_leftover)
+    {
+        room.cpu_milli = 0;
+        // Half of what it asks for must be free, or it would hardly move on.
+        if (capacity.cpu_milli - worker.used.cpu_milli - worker.leftover_used <
+            spec.need.cpu_milli / 2)
+        {
+            return false;
+        }
+    }
+    if (!(worker.used + room).fits_in(capacity))
+    {
+        return false;
+    }
+    if (worker.kept_for != nullptr && worker.kept_for != next.record)
+    {
+        return false;
+    }
+    if (spec.max_per_worker <= 0)
+    {
+        return true;
+    }
+    const auto first = worker.runs.lower_bound({next.key, 0});
+    const auto last =
+        worker.runs.upper_bound({next.key, std::numeric_limits<int>::max()});
+    return std::distance(first, last) < spec.max_per_worker;
+}
+
+bool fleet::has_ticket(const worker_record& worker, const candidate& next,
+                       base::time_point now) const
+{
+    if (!next.queue->tickets)
+    {
+        return true;
+    }
+    const auto held = next.record->tickets.find(worker.number);
+    return held != next.record->tickets.end() &&
+           held->second.life == worker.life &&
+           held->second.valid_until - options_.ticket_margin > now;
+}
+
+bool fleet::within_limit(const candidate& next, int count) const
+{
+    const base::team_id& id = next.job->submission.team;
+    const team_policy* team = catalogue_->team(id);
+    if (team == nullptr)
+    {
+        return true;
+    }
+    const base::resources after = usage_of(id) + next.spec->need * count;
+    const auto fits = [](std::int64_t used, std::int64_t limit)
+    {
+        return limit == 0 || used <= limit;
+    };
+    return fits(after.cpu_milli, team->limit.cpu_milli) &&
+           fits(after.memory_mb, team->limit.memory_mb) &&
+           fits(after.accelerators, team->limit.accelerators);
+}
+
+double fleet::cost_of(const worker_record& worker, const candidate& next) const
+{
+    const base::resources left =
+        worker.listing.capacity - worker.used - next.spec->need;
+    double cost = static_cast<double>(left.cpu_milli);
+    if (next.spec->need.accelerators > 0)
+    {
+        cost += accelerator_cost * static_cast<double>(left.accelerators);
+    }
+    if (next.spec->uses_leftover)
+    {
+        // The most room, so that they disturb others least.
+        cost = -static_cast<double>(left.cpu_milli - worker.leftover_used);
+    }
+    const std::string& rack = next.spec->data_rack;
+    const auto& labels = worker.listing.labels;
+    if (!rack.empty() &&
+        std::find(labels.begin(), labels.end(), rack) == labels.end())
+    {
+        cost += far_cost;
+    }
+    return cost;
+}
+
+// Keeps the worker with the most room free from the steps behind this one.
+void fleet::reserve(const candidate& next)
+{
+    service_round& round = *next.round;
+    if (!within_limit(next, 1) ||
+        static_cast<double>(round.kept + 1) >
+            options_.reserved_part * static_cast<double>(round.open.size()))
+    {
+        return;
+    }
+    worker_record* best = nullptr;
+    base::resources best_free;
+    for (worker_record* worker : round.open)
+    {
+        const bool allowed = !next.queue->tickets ||
+                             next.record->tickets.contains(worker->number);
+        if (!allowed || worker->kept_for != nullptr || !usable(*worker, next) ||
+            !next.spec->need.fits_in(worker->listing.capacity))
+        {
+            continue;
+        }
+        const base::resources free = worker->listing.capacity - worker->used;
+        if (best == nullptr || free.accelerators > best_free.accelerators ||
+            (free.accelerators == best_free.accelerators &&
+             free.cpu_milli > best_free.cpu_milli))
+        {
+            best = worker;
+            best_free = free;
+        }
+    }
+    if (best != nullptr)
+    {
+        ++round.kept;
+        best->kept_for = next.record;
+    }
+}
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/src/fleet/fleet_reports.cpp
@@ -0,0 +1,263 @@
+// The reports of workers: what runs there, what is missing, and what has ended.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::fleet
+{
+namespace
+{
+
+constexpr std::string_view log_part = "fleet";
+
+} // namespace
+
+void fleet::on_report(const base::worker_id& id, const worker_report& report,
+                      base::time_point now)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+    {
+        return;
+    }
+    worker_record& worker = found->second;
+    if (worker.synced && worker.life != report.life)
+    {
+        base::log(base::log_level::warning, log_part,
+                  "Worker was restarted. worker={} life={} runs_lost={}",
+                  id.text(), report.life, worker.runs.size());
+        lose_all(worker);
+        worker.lease.reset();
+        worker.ends.clear();
+        worker.ends_seen = 0;
+        worker.ends_durable = 0;
+    }
+    if (worker.silent)
+    {
+        base::log(base::log_level::info, log_part,
+                  "Worker answers again. worker={}", id.text());
+    }
+    if (!worker.synced)
+    {
+        base::log(base::log_level::info, log_part,
+                  "Worker reported first. worker={} running={} ended={}",
+                  id.text(), report.running.size(), report.ended.size());
+    }
+    worker.life = report.life;
+    worker.silent = false;
+    worker.lease.note_clock(report.clock, now);
+    read_ended(worker, report, now);
+    read_running(worker, report, now);
+    read_missing(worker, report);
+    worker.synced = true;
+    advance_acknowledged(worker);
+}
+
+void fleet::read_running(worker_record& worker, const worker_report& report,
+                         base::time_point now)
+{
+    for (const listed_run& listed : report.running)
+    {
+        auto found = worker.runs.find(listed.task);
+        if (found != worker.runs.end() && found->second.run != listed.run &&
+            found->second.phase == run_phase::starting &&
+            found->second.run > listed.run)
+        {
+            // The list was made before our newer order was carried out.
+            continue;
+        }
+        if (found != worker.runs.end() && found->second.run != listed.run)
+        {
+            found->second.run = listed.run;
+            found->second.stop_done = false;
+        }
+        if (found == worker.runs.end())
+        {
+            active_run& added = add_run(worker, listed.task, listed.run,
+                                        run_phase::running, now);
+            measure_stray(worker, listed.task, added);
+            found = worker.runs.find(listed.task);
+            task_record* task = find_task(listed.task);
+            job_record* job = find_job(listed.task.step.job);
+            if (task != nullptr && !task->done && !task->worker &&
+                listed.run >= task->last_run && !job->final_state())
+            {
+                attach(worker, listed.task, added, *task);
+                job->begun = true;
+                base::log(base::log_level::info, log_part,
+                          "Run adopted. job={} step={} task={} run={} "
+                          "worker={}",
+                          listed.task.step.job.text(), listed.task.step.step,
+                          listed.task.index, listed.run,
+                          worker.listing.worker.text());
+            }
+            else if (job != nullptr)
+            {
+                base::log(base::log_level::info, log_part,
+                          "Run not wanted. job={} step={} task={} run={} "
+                          "worker={}",
+                          listed.task.step.job.text(), listed.task.step.step,
+                          listed.task.index, listed.run,
+                          worker.listing.worker.text());
+                request_stop(added);
+            }
+        }
+        active_run& run = found->second;
+        run.missing = 0;
+        if (run.phase == run_phase::starting ||
+            run.phase == run_phase::uncertain)
+        {
+            run.phase = run_phase::running;
+            run.known_at = now;
+        }
+        if (run.percent != listed.percent)
+        {
+            run.percent = listed.percent;
+            run.progress_at = now;
+        }
+        run.load = listed.load;
+        run.checkpoint = listed.checkpoint;
+    }
+}
+
+void fleet::read_missing(worker_record& worker, const worker_report& report)
+{
+    std::map<jobs::task_key, std::uint64_t> listed;
+    for (const listed_run& run : report.running)
+    {
+        listed[run.task] = run.run;
+    }
+    for (auto run = worker.runs.begin(); run != worker.runs.end();)
+    {
+        active_run& active = run->second;
+        const bool present = listed.count(run->first) != 0;
+        if (!present && active.phase == run_phase::uncertain &&
+            report.sent_at > active.known_at)
+        {
+            // The order may still be on its way; a stop that is carried out
+            // keeps the worker from starting the run later.
+            request_stop(active);
+        }
+        const bool settled = active.phase == run_phase::running
+                                 ? report.sent_at > active.known_at
+                                 : active.phase == run_phase::stopping &&
+                                       active.stop_done &&
+                                       report.sent_at > active.stop_at;
+        if (present || !settled)
+        {
+            ++run;
+            continue;
+        }
+        ++active.missing;
+        const int allowed =
+            active.phase == run_phase::stopping ? 1 : options_.missing_reports;
+        if (active.missing < allowed)
+        {
+            ++run;
+            continue;
+        }
+        base::log(base::log_level::info, log_part,
+                  "Run is gone without an end. job={} step={} task={} run={} "
+                  "worker={}",
+                  run->first.step.job.text(), run->first.step.step,
+                  run->first.index, active.run, worker.listing.worker.text());
+        run = drop_run(worker, run);
+    }
+}
+
+void fleet::read_ended(worker_record& worker, const worker_report& report,
+                       base::time_point now)
+{
+    for (const run_end& end : report.ended)
+    {
+        if (end.number <= worker.ends_seen)
+        {
+            continue;
+        }
+        const job_record* job = find_job(end.task.step.job);
+        if (job == nullptr)
+        {
+            // The row of the job may still be on its way to this leader. An
+            // end that is acknowledged is forgotten by the worker.
+            if (!worker.unknown_since)
+            {
+                worker.unknown_since = now;
+            }
+            if (now - *worker.unknown_since < options_.unknown_job_wait)
+            {
+                return;
+            }
+            base::log(base::log_level::warning, log_part,
+                      "End of an unknown job passed over. job={} worker={}",
+                      end.task.step.job.text(), worker.listing.worker.text());
+        }
+        worker.unknown_since.reset();
+        worker.ends_seen = end.number;
+        apply_end(worker, end, now);
+    }
+}
+
+void fleet::apply_end(worker_record& worker, const run_end& end,
+                      base::time_point now)
+{
+    const auto run = worker.runs.find(end.task);
+    if (run != worker.runs.end() && run->second.run <= end.run)
+    {
+        drop_run(worker, run);
+    }
+    job_record* job = find_job(end.task.step.job);
+    task_record* task = find_task(end.task);
+    if (job == nullptr || task == nullptr)
+    {
+        worker.ends.push_back({end.number, end.task.step.job, 0});
+        return;
+    }
+    task->last_run = std::max(task->last_run, end.run);
+    if (!end.checkpoint.empty())
+    {
+        task->checkpoint = end.checkpoint;
+    }
+    note_health(worker, end, now);
+    const std::uint64_t before = job->change;
+    if (end.kind == end_kind::done)
+    {
+        apply_done(*job, end.task);
+        check_completed(*job, now);
+    }
+    else if (end.kind == end_kind::failed)
+    {
+        task->avoid = worker.listing.worker;
+        apply_failure(*job, end, now);
+    }
+    base::log(base::log_level::info, log_part,
+              "Run ended. job={} step={} task={} run={} worker={} how={} "
+              "failures={}",
+              end.task.step.job.text(), end.task.step.step, end.task.index,
+              end.run, worker.listing.worker.text(), name_of(end.kind),
+              task->failures.size());
+    // An end that changes nothing needs no write, but one that repeats a
+    // change that is not stored yet waits for it.
+    const bool counted =
+        end.kind == end_kind::done || end.kind == end_kind::failed;
+    worker.ends.push_back({end.number, job->id,
+                           counted || job->change != before ? job->change : 0});
+}
+
+void fleet::advance_acknowledged(worker_record& worker)
+{
+    while (!worker.ends.empty())
+    {
+        const unacknowledged_end& first = worker.ends.front();
+        const job_record* job = find_job(first.job);
+        if (job != nullptr && job->change_saved < first.change)
+        {
+            return;
+        }
+        worker.ends_durable = first.number;
+        worker.ends.pop_front();
+    }
+}
+
+} // namespace coltsfootrack::fleet
--- /dev/null
+++ b/src/fleet/fleet_runs.cpp
@@ -0,0 +1,143 @@
+// Runs of a fleet: what they take of workers and of the limits of teams.
+
+#include <coltsfootrack/fleet/fleet.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::fleet
+{
+
+active_run& fleet::add_run(worker_record& worker, const jobs::task_key& task,
+                           std::uint64_t run, run_phase phase,
+                           base::time_point now)
+{
+    active_run& added = worker.runs[task];
+    added.run = run;
+    added.phase = phase;
+    added.ordered_at = now;
+    added.known_at = now;
+    added.progress_at = now;
+    return added;
+}
+
+void fleet::attach(worker_record& worker, const jobs::task_key& task,
+                   active_run& run, task_record& record)
+{
+    job_record& job = jobs_.at(task.step.job);
+    const jobs::step_spec& spec = spec_of(job, task.step.step);
+    step_record& step = *find_step(task.step);
+    worker.used -= run.room;
+    usage_[run.team] -= run.need;
+    worker.unmeasured -= run.unmeasured ? 1 : 0;
+    run.unmeasured = false;
+    run.stray = false;
+    run.need = spec.need;
+    run.room = spec.need;
+    run.standing = spec.standing;
+    run.uses_leftover = spec.uses_leftover;
+    run.latency_target_ms = static_cast<double>(spec.latency_target.count());
+    run.team = job.submission.team;
+    if (spec.uses_leftover)
+    {
+        run.room.cpu_milli = 0;
+        worker.leftover_used += spec.need.cpu_milli;
+    }
+    worker.used += run.room;
+    usage_[run.team] += run.need;
+    record.worker = worker.listing.worker;
+    record.last_run = std::max(record.last_run, run.run);
+    if (step.active == 0)
+    {
+        step.first_start = run.ordered_at;
+    }
+    ++step.active;
+}
+
+// A run that nobody waits for takes its room until its end is listed. If its
+// job is not known its room is not either, and the worker takes nothing new.
+void fleet::measure_stray(worker_record& worker, const jobs::task_key& task,
+                          active_run& run)
+{
+    run.stray = true;
+    const job_record* job = find_job(task.step.job);
+    const std::size_t step = static_cast<std::size_t>(task.step.step);
+    if (job == nullptr || step >= job->submission.spec.steps.size())
+    {
+        run.unmeasured = true;
+        ++worker.unmeasured;
+        return;
+    }
+    const jobs::step_spec& spec = job->submission.spec.steps[step];
+    run.room = spec.need;
+    run.room.cpu_milli = spec.uses_leftover ? 0 : spec.need.cpu_milli;
+    run.need = spec.need;
+    run.team = job->submission.team;
+    worker.used += run.room;
+    usage_[run.team] += run.need;
+}
+
+fleet::run_map::iterator fleet::drop_run(worker_record& worker,
+                                         run_map::iterator run)
+{
+    const active_run& dropped = run->second;
+    worker.used -= dropped.room;
+    worker.unmeasured -= dropped.unmeasured ? 1 : 0;
+    if (dropped.uses_leftover)
+    {
+        worker.leftover_used -= dropped.need.cpu_milli;
+    }
+    usage_[dropped.team] -= dropped.need;
+    task_record* task = find_task(run->first);
+    if (task != nullptr && task->worker == worker.listing.worker)
+    {
+        if (!dropped.checkpoint.empty())
+        {
+            task->checkpoint = dropped.checkpoint;
+        }
+        task->worker.reset();
+        --find_step(run->first.step)->active;
+    }
+    return worker.runs.erase(run);
+}
+
+void fleet::lose_all(worker_record& worker)
+{
+    for (auto run = worker.runs.begin(); run != worker.runs.end();)
+    {
+        run = drop_run(worker, run);
+    }
+}
+
+void fleet::request_stop(active_run& run)
+{
+    if (run.phase != run_phase::stopping)
+    {
+        run.phase = run_phase::stopping;
+        run.stop_pending = true;
+        run.stop_done = false;
+    }
+}
+
+void fleet::adopt_strays(const base::job_id& id, base::time_point now)
+{
+    for (auto& [worker_id, worker] : workers_)
+    {
+        for (auto run = worker.runs.lower_bound({{id, 0, 0}, 0});
+             run != worker.runs.end() && run->first.step.job == id; ++run)
+        {
+            task_record* task = find_task(run->first);
+            job_record& job = jobs_.at(id);
+            if (!run->second.stray || task == nullptr || task->worker ||
+                task->done || job.final_state())
+            {
+                continue;
+            }
+            run->second.phase = run_phase::running;
+            run->second.known_at = now;
+            attach(worker, run->first, run->second, *task);
+            job.begun = true;
+        }
+    }
+}
+
+} // namespace coltsfootrack::fleet
