Ask about more workers when a gang's good ones are too few

Ruled out: limits of the team (far below), preemption (four runs were stopped for it), expired tickets (renewed every 0.6 s).

Change: a gang renews only its good workers when they hold it now, or twice its tasks in all; otherwise it names unknown workers beside them.

Tests: ticket_test; two of four were seen to fail before.

--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -22,6 +22,18 @@
 // A request without an answer is given up after its expected time and this.
 constexpr std::chrono::milliseconds answer_slack{1500};
 
+// How many tasks like `need` fit into an amount of room, at most `most`.
+int fits(const base::resources& room, const base::resources& need, int most)
+{
+    int count = 0;
+    for (base::resources taken = need; count < most && taken.fits_in(room);
+         taken += need)
+    {
+        ++count;
+    }
+    return count;
+}
+
 } // namespace
 
 void fleet::on_tickets(const jobs::step_key& key,
@@ -64,6 +76,9 @@
     }
 }
 
+// Names the workers with the most room. A step with enough good workers names
+// only those. A single task needs one of them; a gang needs places for all its
+// tasks, and twice as many in all, since other work takes some of them.
 std::vector<base::worker_id> fleet::workers_to_ask(const candidate& next) const
 {
     struct option
@@ -72,15 +87,21 @@
         bool good;
         bool room;
     };
+    const jobs::step_spec& spec = *next.spec;
+    const int wanted = spec.gang ? std::max(1, spec.tasks) : 1;
+    const int enough = spec.gang ? 2 * wanted : 1;
+    const int per_worker =
+        spec.max_per_worker > 0 ? spec.max_per_worker : wanted;
     std::vector<option> options;
-    bool any_room = false;
-    bool good_room = false;
-    bool any_good = false;
+    bool unasked_room = false;
+    int good_now = 0;
+    int good_ever = 0;
+    std::size_t good_workers = 0;
     for (const worker_record* entry : next.round->open)
     {
         const worker_record& worker = *entry;
-        if (!usable(worker, next) ||
-            !next.spec->need.fits_in(worker.listing.capacity))
+        const base::resources& capacity = worker.listing.capacity;
+        if (!usable(worker, next) || !spec.need.fits_in(capacity))
         {
             continue;
         }
@@ -95,9 +116,15 @@
                           held->second.life == worker.life;
         const bool room = has_room(worker, next);
         options.push_back({&worker, good, room});
-        any_room = any_room || room;
-        any_good = any_good || good;
-        good_room = good_room || (good && room);
+        unasked_room = unasked_room || (room && !good);
+        if (good)
+        {
+            ++good_workers;
+            good_ever += fits(capacity, spec.need, per_worker);
+            good_now += room ? std::max(1, fits(capacity - worker.used,
+                                                spec.need, per_worker))
+                             : 0;
+        }
     }
     std::stable_sort(options.begin(), options.end(),
                      [](const option& a, const option& b)
@@ -111,19 +138,42 @@
                          };
                          return free(a) < free(b);
                      });
+    const bool known = good_workers == options.size();
+    const bool renew =
+        known || good_now >= wanted || (good_ever >= enough && !unasked_room);
+    // A gang needs the tickets of all its workers at the same time, so it
+    // names the good ones beside those it does not know yet.
+    const bool good_first = spec.gang && !renew;
     std::vector<base::worker_id> named;
-    const bool renew = good_room || (any_good && !any_room);
-    const std::size_t limit =
-        renew ? options_.renewed_workers : options_.ticket_workers;
-    for (const option& entry : options)
+    const auto name_some = [&](bool good, std::size_t limit)
     {
-        if (named.size() >= limit)
+        for (const option& entry : options)
         {
-            break;
+            if (named.size() < limit && entry.good == good)
+            {
+                named.push_back(entry.worker->listing.worker);
+            }
         }
-        if (!renew || entry.good)
+    };
+    if (renew)
+    {
+        const std::size_t members = spec.gang ? spec.tasks : 0;
+        name_some(true, std::min(options_.ticket_workers,
+                                 options_.renewed_workers + members));
+    }
+    else if (good_first)
+    {
+        name_some(true, options_.ticket_workers / 2);
+        name_some(false, options_.ticket_workers);
+    }
+    else
+    {
+        for (const option& entry : options)
         {
-            named.push_back(entry.worker->listing.worker);
+            if (named.size() < options_.ticket_workers)
+            {
+                named.push_back(entry.worker->listing.worker);
+            }
         }
     }
     return named;
