Look only at open jobs, allowed workers and stopping runs in a round

By perf, 35% of a round were scans of all runs of all workers for each waiting step, 28% lookups of tickets for each worker.

Change: final jobs leave the list that is looked through; runs that are being stopped are counted as they change; runs that may be stopped for urgent work are collected once a round; a step looks at the workers that it has tickets for; a step that is larger than the most room left is not placed; stalled runs are looked for ten times a second; reports and renewals need no extra maps.

measure_cell is new: a cell of real processes under a steady load.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -79,6 +79,9 @@
     add_executable(soak-cell test/soak/main.cpp)
     target_link_libraries(soak-cell PRIVATE coltsfootrack-soak)
     add_dependencies(soak-cell coltsfootrack-celld standin-cell)
+    add_executable(measure_cell bench/cluster/measure_cell.cpp)
+    target_link_libraries(measure_cell PRIVATE coltsfootrack-soak)
+    add_dependencies(measure_cell coltsfootrack-celld standin-cell)
 endif()
 
 # The invariants across real processes. tools/check-system runs each test in a
--- a/include/coltsfootrack/fleet/active_run.hpp
+++ b/include/coltsfootrack/fleet/active_run.hpp
@@ -48,7 +48,14 @@
     bool standing = false;
     bool uses_leftover = false;
     double latency_target_ms = 0;
-    // Reports in a row that do not list it.
+    // The priority of its queue; 0 comes first.
+    int priority = 0;
+    // Saves checkpoints and runs on without others, so that it may be stopped
+    // for urgent work.
+    bool preemptible = false;
+    // The last report of its worker that listed it, and the settled reports
+    // in a row that did not.
+    std::uint64_t listed_in = 0;
     int missing = 0;
     int percent = 0;
     base::time_point progress_at;
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -153,7 +153,7 @@
     void set_deadlines(job_record& job);
 
     // Runs.
-    using run_map = std::map<jobs::task_key, active_run>;
+    using run_map = worker_record::run_map;
     active_run& add_run(worker_record& worker, const jobs::task_key& task,
                         std::uint64_t run, run_phase phase,
                         base::time_point now);
@@ -176,10 +176,12 @@
     void note_health(worker_record& worker, const run_end& end,
                      base::time_point now);
     void advance_acknowledged(worker_record& worker);
-    void request_stop(active_run& run);
+    void request_stop(worker_record& worker, active_run& run);
+    void forget_stop(worker_record& worker, active_run& run);
 
     // Steps.
     void settle_workers(base::time_point now);
+    void settle_stops(worker_record& worker, base::time_point now);
     void settle_jobs(base::time_point now, wall_time wall);
     void order_stops(base::time_point now, std::vector<order>& orders);
     void order_saves(std::vector<order>& orders);
@@ -213,11 +215,14 @@
                      std::vector<order>& orders);
     void reserve(const candidate& next);
     void find_open_workers(base::time_point now);
+    void find_allowed(candidate& next) const;
+    bool may_have_room(const candidate& next) const;
     bool any_room(const candidate& next) const;
+    bool any_fresh_ticket(const candidate& next, base::time_point now) const;
+    bool any_unasked_room(const candidate& next, base::time_point now) const;
     void make_room(const candidate& next, base::time_point now);
     bool make_limit(const candidate& next, base::time_point now);
-    bool may_preempt(const candidate& next, const jobs::task_key& key,
-                     const active_run& run, base::time_point now) const;
+    void find_victims(service_round& round, base::time_point now);
     void order_tickets(std::vector<candidate>& waiting, base::time_point now,
                        ticket_slots slots, std::vector<order>& orders);
     std::vector<base::worker_id> workers_to_ask(const candidate& next) const;
@@ -227,11 +232,17 @@
     base::time_point since_;
     std::shared_ptr<const catalogue> catalogue_;
     std::map<base::worker_id, worker_record> workers_;
+    // By number; null once the worker is gone.
+    std::vector<worker_record*> numbered_;
     std::map<base::job_id, job_record> jobs_;
+    // The jobs that are not final.
+    std::map<base::job_id, job_record*> open_jobs_;
     std::map<base::job_id, base::time_point> early_cancels_;
     std::map<base::team_id, base::resources> usage_;
+    // The part of it that is being stopped.
+    std::map<base::team_id, base::resources> stopping_;
     std::map<base::job_id, bool> dirty_;
-    int next_worker_number_ = 0;
+    base::time_point stalls_checked_at_;
     std::map<base::team_id, share_meter> shares_;
     // Of the present round: the workers of each service that take tasks, and
     // what steps that came before wait for of the limits of teams.
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -6,6 +6,7 @@
 #include <coltsfootrack/jobs/job_progress.hpp>
 #include <coltsfootrack/jobs/job_submission.hpp>
 
+#include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
 #include <cstdint>
 #include <map>
@@ -50,7 +51,7 @@
     // Tasks with a run.
     int active = 0;
     // By the number of the worker.
-    absl::flat_hash_map<int, held_ticket> tickets;
+    absl::btree_map<int, held_ticket> tickets;
     // Workers, with their life, that may not run the step.
     absl::flat_hash_map<int, std::int64_t> refused;
     bool asking = false;
--- a/include/coltsfootrack/fleet/service_round.hpp
+++ b/include/coltsfootrack/fleet/service_round.hpp
@@ -14,6 +14,10 @@
 {
     // The workers that take tasks, in the order of their ids.
     std::vector<worker_record*> open;
+    // At least the room of each of them, by resource.
+    base::resources most_room;
+    // The victims of the workers are collected.
+    bool victims_known = false;
     // A worker may run what nobody knows of yet, so that jobs of a former
     // leader wait.
     bool unsettled = false;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <vector>
 
 namespace coltsfootrack::fleet
 {
@@ -28,6 +29,8 @@
 // What the fleet knows of one worker.
 struct worker_record
 {
+    using run_map = std::map<jobs::task_key, active_run>;
+
     worker_listing listing;
     // A number of its own, for tables of workers.
     int number = 0;
@@ -39,11 +42,18 @@
     bool silent = false;
     std::int64_t life = 0;
     worker_lease lease;
-    std::map<jobs::task_key, active_run> runs;
+    run_map runs;
     // The sum of the room of the runs.
     base::resources used;
     // Runs of which the room is not known; with one the worker is full.
     int unmeasured = 0;
+    // The runs that are being stopped, and their room; whether an order to
+    // stop one is to be given.
+    int stopping = 0;
+    base::resources stopping_room;
+    bool stop_wanted = false;
+    // Reports since the first.
+    std::uint64_t reports = 0;
     // Processors that tasks on leftover capacity ask for, thousandths.
     std::int64_t leftover_used = 0;
     // The last end that was taken into account, and the last that may be
@@ -59,10 +69,14 @@
     bool several_jobs_failed = false;
     int quarantines = 0;
     base::time_point avoided_until;
-    // Of the present round: the room of runs that are being stopped, less what
-    // steps wait for, and the step that it is kept free for.
+    // Of the present round: whether it takes tasks; the room of runs that are
+    // being stopped, less what steps wait for; the step that it is kept free
+    // for; the runs that may be stopped for urgent work, and their room.
+    bool open = false;
     base::resources promised;
     const step_record* kept_for = nullptr;
+    std::vector<run_map::iterator> victims;
+    base::resources victim_room;
     // The last change of the pace of tasks on leftover capacity.
     base::time_point paced_at;
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -310,9 +310,10 @@
             }
             fleet_.on_saved(job, change, clock_.now());
             // Workers learn at once which ends they may forget.
+            const base::time_point now = clock_.now();
             for (auto& [id, state] : renewals_)
             {
-                state.next_at = std::min(state.next_at, clock_.now());
+                state.next_at = std::min(state.next_at, now);
             }
             request_step();
         });
@@ -323,20 +324,19 @@
     const base::time_point now = clock_.now();
     for (auto it = renewals_.begin(); it != renewals_.end();)
     {
-        if (!fleet_.has_worker(it->first) && !it->second.in_flight)
+        renewal& state = it->second;
+        if (state.in_flight || state.next_at > now)
         {
-            it = renewals_.erase(it);
+            ++it;
             continue;
         }
-        ++it;
-    }
-    for (const auto& [id, worker] : fleet_.workers())
-    {
-        renewal& state = renewals_[id];
-        if (!state.in_flight && state.next_at <= now)
+        if (!fleet_.has_worker(it->first))
         {
-            renew(id, state);
+            it = renewals_.erase(it);
+            continue;
         }
+        renew(it->first, state);
+        ++it;
     }
 }
 
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -292,6 +292,7 @@
             continue;
         }
         listed[id] = true;
+        renewals_.try_emplace(id);
         fleet_.list_worker(*listing, now);
     }
     if (all)
--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -23,6 +23,10 @@
     jobs::step_key key;
     // The tasks to start; empty for a step whose turn comes soon.
     std::vector<int> pending;
+    // The workers that may run the step, as far as is known: those with its
+    // label, and with a ticket where it needs one, fresh or not. In ascending
+    // order of their numbers.
+    std::vector<worker_record*> allowed;
     // Among the first of its service that found no room.
     bool considered = true;
     // The place in the order; lower goes first.
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -86,16 +86,16 @@
 {
     find_open_workers(now);
     std::vector<candidate> found;
-    for (auto& [id, job] : jobs_)
+    for (const auto& [id, job] : open_jobs_)
     {
-        if (job.final_state() || job.queue == nullptr)
+        if (job->queue == nullptr)
         {
             continue;
         }
-        service_round& round = rounds_[job.queue->service];
-        if (!job.inherited || !round.unsettled)
+        service_round& round = rounds_[job->queue->service];
+        if (!job->inherited || !round.unsettled)
         {
-            add_candidates(job, round, now, found);
+            add_candidates(*job, round, now, found);
         }
     }
     std::sort(found.begin(), found.end());
@@ -161,19 +161,16 @@
         round.unsettled = round.unsettled ||
                           (!worker.synced && !worker.lease.over(now, since_));
         worker.kept_for = nullptr;
-        worker.promised = base::resources();
-        for (const auto& [key, run] : worker.runs)
-        {
-            if (run.phase == run_phase::stopping)
-            {
-                worker.promised += run.room;
-            }
-        }
-        if (worker.listed && worker.synced && !worker.silent &&
-            worker.unmeasured == 0 && !worker.listing.leaving &&
-            now >= worker.avoided_until)
+        worker.promised = worker.stopping_room;
+        worker.victims.clear();
+        worker.open = worker.listed && worker.synced && !worker.silent &&
+                      worker.unmeasured == 0 && !worker.listing.leaving &&
+                      now >= worker.avoided_until;
+        if (worker.open)
         {
             round.open.push_back(&worker);
+            round.most_room = component_max(
+                round.most_room, worker.listing.capacity - worker.used);
         }
     }
 }
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -67,6 +67,16 @@
     {
         set_deadlines(job);
     }
+    for (auto& [id, worker] : workers_)
+    {
+        for (auto& [key, run] : worker.runs)
+        {
+            const job_record* job = find_job(key.step.job);
+            run.priority = job != nullptr && job->queue != nullptr
+                               ? job->queue->priority
+                               : 0;
+        }
+    }
 }
 
 void fleet::set_deadlines(job_record& job)
@@ -113,6 +123,7 @@
         job.begun = true;
         return;
     }
+    open_jobs_[id] = &job;
     job.occurrences.resize(
         static_cast<std::size_t>(submission.spec.occurrences()));
     job.begun = !progress.steps.empty();
@@ -223,6 +234,7 @@
 {
     job.state = state;
     job.finished_at = now;
+    open_jobs_.erase(job.id);
     mark_changed(job);
     base::log(base::log_level::info, log_part,
               "Job finished. job={} state={} age_ms={}", job.id.text(),
@@ -241,7 +253,7 @@
         for (auto run = worker.runs.lower_bound({{job.id, 0, 0}, 0});
              run != worker.runs.end() && run->first.step.job == job.id; ++run)
         {
-            request_stop(run->second);
+            request_stop(worker, run->second);
         }
     }
 }
@@ -372,11 +384,11 @@
 std::map<std::string, int> fleet::waiting_counts() const
 {
     std::map<std::string, int> counts;
-    for (const auto& [id, job] : jobs_)
+    for (const auto& [id, job] : open_jobs_)
     {
-        if (!job.begun && !job.final_state())
+        if (!job->begun)
         {
-            ++counts[job.submission.queue];
+            ++counts[job->submission.queue];
         }
     }
     return counts;
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -6,13 +6,44 @@
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace coltsfootrack::fleet
 {
+void fleet::find_allowed(candidate& next) const
+{
+    if (!next.queue->tickets)
+    {
+        std::copy_if(next.round->open.begin(), next.round->open.end(),
+                     std::back_inserter(next.allowed),
+                     [&](const worker_record* worker)
+                     { return usable(*worker, next); });
+        return;
+    }
+    for (const auto& [number, ticket] : next.record->tickets)
+    {
+        worker_record* worker = numbered_[static_cast<std::size_t>(number)];
+        if (worker != nullptr && worker->open && worker->life == ticket.life &&
+            usable(*worker, next))
+        {
+            next.allowed.push_back(worker);
+        }
+    }
+}
+
+// Whether a worker may have room, by the most room of any at the start of the
+// round; less than that is left by now.
+bool fleet::may_have_room(const candidate& next) const
+{
+    return next.spec->uses_leftover ||
+           next.spec->need.fits_in(next.round->most_room);
+}
+
 bool fleet::any_room(const candidate& next) const
 {
-    return std::any_of(next.round->open.begin(), next.round->open.end(),
+    return may_have_room(next) &&
+           std::any_of(next.round->open.begin(), next.round->open.end(),
                        [&](const worker_record* worker)
                        { return has_room(*worker, next); });
 }
@@ -125,11 +156,9 @@
     }
     worker_record* best = nullptr;
     base::resources best_free;
-    for (worker_record* worker : round.open)
+    for (worker_record* worker : next.allowed)
     {
-        const bool allowed = !next.queue->tickets ||
-                             next.record->tickets.contains(worker->number);
-        if (!allowed || worker->kept_for != nullptr || !usable(*worker, next) ||
+        if (worker->kept_for != nullptr ||
             !next.spec->need.fits_in(worker->listing.capacity))
         {
             continue;
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -34,25 +34,40 @@
     return component_max(value, base::resources());
 }
 
+// Whether a run may be stopped for a step; it may have been in this round.
+bool less_urgent(const active_run& run, const candidate& next)
+{
+    return run.phase == run_phase::running &&
+           run.priority > next.queue->priority;
+}
+
 } // namespace
 
-bool fleet::may_preempt(const candidate& next, const jobs::task_key& key,
-                        const active_run& run, base::time_point now) const
+// Collects the runs that may be stopped on the workers of a service. Which of
+// them are less urgent than a step is seen there.
+void fleet::find_victims(service_round& round, base::time_point now)
 {
-    if (run.phase != run_phase::running || run.standing || run.stray ||
-        run.percent >= nearly_done_percent || now - run.known_at < least_run)
+    if (round.victims_known)
     {
-        return false;
+        return;
     }
-    const auto job = jobs_.find(key.step.job);
-    if (job == jobs_.end() || job->second.final_state())
+    round.victims_known = true;
+    for (worker_record* worker : round.open)
     {
-        return false;
+        worker->victim_room = base::resources();
+        for (auto run = worker->runs.begin(); run != worker->runs.end(); ++run)
+        {
+            const active_run& active = run->second;
+            if (active.preemptible && !active.stray &&
+                active.phase == run_phase::running &&
+                active.percent < nearly_done_percent &&
+                now - active.known_at >= least_run)
+            {
+                worker->victims.push_back(run);
+                worker->victim_room += active.room;
+            }
+        }
     }
-    const queue_policy* queue = job->second.queue;
-    const jobs::step_spec& spec = spec_of(job->second, key.step.step);
-    return queue != nullptr && queue->priority > next.queue->priority &&
-           spec.checkpoints && !spec.gang;
 }
 
 // Stops runs of the same team for a step that its limit holds up. False if the
@@ -75,53 +90,53 @@
     over.accelerators = team->limit.accelerators > 0
                             ? after.accelerators - team->limit.accelerators
                             : 0;
-    base::resources coming = base::resources() - claimed_limits_[id];
-    std::vector<std::pair<jobs::task_key, active_run*>> victims;
-    for (auto& [worker_id, worker] : workers_)
+    base::resources coming = stopping_[id] - claimed_limits_[id];
+    std::vector<std::pair<worker_record*, worker_record::run_map::iterator>>
+        victims;
+    for (auto& [service, round] : rounds_)
     {
-        for (auto& [key, run] : worker.runs)
+        find_victims(round, now);
+        for (worker_record* worker : round.open)
         {
-            if (run.team != id)
-            {
-                continue;
-            }
-            if (run.phase == run_phase::stopping)
-            {
-                coming += run.need;
-            }
-            else if (may_preempt(next, key, run, now))
+            for (const auto run : worker->victims)
             {
-                victims.emplace_back(key, &run);
+                if (run->second.team == id && less_urgent(run->second, next))
+                {
+                    victims.emplace_back(worker, run);
+                }
             }
         }
     }
     claimed_limits_[id] += positive(over);
     // The least advanced first: they would hold the limit longest.
-    std::stable_sort(victims.begin(), victims.end(),
-                     [](const auto& a, const auto& b)
-                     { return a.second->percent < b.second->percent; });
-    for (auto& [key, run] : victims)
+    std::stable_sort(
+        victims.begin(), victims.end(),
+        [](const auto& a, const auto& b)
+        { return a.second->second.percent < b.second->second.percent; });
+    for (const auto& [worker, victim] : victims)
     {
+        const jobs::task_key& key = victim->first;
+        active_run& run = victim->second;
         if (positive(over).fits_in(positive(coming)))
         {
             break;
         }
         const base::resources missing = positive(over - coming);
         const bool helps =
-            (missing.cpu_milli > 0 && run->need.cpu_milli > 0) ||
-            (missing.memory_mb > 0 && run->need.memory_mb > 0) ||
-            (missing.accelerators > 0 && run->need.accelerators > 0);
+            (missing.cpu_milli > 0 && run.need.cpu_milli > 0) ||
+            (missing.memory_mb > 0 && run.need.memory_mb > 0) ||
+            (missing.accelerators > 0 && run.need.accelerators > 0);
         if (!helps)
         {
             continue;
         }
-        coming += run->need;
-        request_stop(*run);
+        coming += run.need;
+        request_stop(*worker, run);
         base::log(base::log_level::info, log_part,
                   "Run preempted for the limit of its team. job={} step={} "
                   "task={} run={} percent={} for={}",
-                  key.step.job.text(), key.step.step, key.index, run->run,
-                  run->percent, next.key.job.text());
+                  key.step.job.text(), key.step.step, key.index, run.run,
+                  run.percent, next.key.job.text());
     }
     return true;
 }
@@ -136,38 +151,40 @@
     struct option
     {
         worker_record* worker = nullptr;
-        std::vector<std::pair<jobs::task_key, active_run*>> victims;
+        std::vector<worker_record::run_map::iterator> victims;
         std::size_t stopped = std::numeric_limits<std::size_t>::max();
     };
+    find_victims(*next.round, now);
     const base::resources& need = next.spec->need;
     for (std::size_t wanted = next.pending.size(); wanted > 0; --wanted)
     {
         option best;
-        for (worker_record* worker : next.round->open)
+        for (worker_record* worker : next.allowed)
         {
-            const bool allowed = !next.queue->tickets ||
-                                 next.record->tickets.contains(worker->number);
-            if (!allowed || !usable(*worker, next) ||
-                !need.fits_in(worker->listing.capacity))
+            if (!need.fits_in(worker->listing.capacity))
+            {
+                continue;
+            }
+            base::resources free =
+                worker->listing.capacity - worker->used + worker->promised;
+            if (!need.fits_in(free + worker->victim_room))
             {
                 continue;
             }
             option tried;
             tried.worker = worker;
             tried.stopped = 0;
-            base::resources free =
-                worker->listing.capacity - worker->used + worker->promised;
-            for (auto& [key, run] : worker->runs)
+            for (const auto run : worker->victims)
             {
                 if (need.fits_in(free))
                 {
                     break;
                 }
-                if (may_preempt(next, key, run, now))
+                if (less_urgent(run->second, next))
                 {
-                    free += run.room;
+                    free += run->second.room;
                     ++tried.stopped;
-                    tried.victims.emplace_back(key, &run);
+                    tried.victims.push_back(run);
                 }
             }
             if (need.fits_in(free) && tried.stopped < best.stopped)
@@ -180,15 +197,17 @@
             return;
         }
         best.worker->promised -= need;
-        for (auto& [key, run] : best.victims)
+        for (const auto victim : best.victims)
         {
-            best.worker->promised += run->room;
-            request_stop(*run);
+            const jobs::task_key& key = victim->first;
+            active_run& run = victim->second;
+            best.worker->promised += run.room;
+            request_stop(*best.worker, run);
             base::log(base::log_level::info, log_part,
                       "Run preempted. job={} step={} task={} run={} worker={} "
                       "percent={} for={}",
-                      key.step.job.text(), key.step.step, key.index, run->run,
-                      best.worker->listing.worker.text(), run->percent,
+                      key.step.job.text(), key.step.step, key.index, run.run,
+                      best.worker->listing.worker.text(), run.percent,
                       next.key.job.text());
         }
     }
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -47,6 +47,7 @@
     }
     worker.life = report.life;
     worker.silent = false;
+    ++worker.reports;
     worker.lease.note_clock(report.clock, now);
     read_ended(worker, report, now);
     read_running(worker, report, now);
@@ -66,6 +67,7 @@
             found->second.run > listed.run)
         {
             // The list was made before our newer order was carried out.
+            found->second.listed_in = worker.reports;
             continue;
         }
         if (found != worker.runs.end() && found->second.run != listed.run)
@@ -101,11 +103,12 @@
                           listed.task.step.job.text(), listed.task.step.step,
                           listed.task.index, listed.run,
                           worker.listing.worker.text());
-                request_stop(added);
+                request_stop(worker, added);
             }
         }
         active_run& run = found->second;
         run.missing = 0;
+        run.listed_in = worker.reports;
         if (run.phase == run_phase::starting ||
             run.phase == run_phase::uncertain)
         {
@@ -124,21 +127,16 @@
 
 void fleet::read_missing(worker_record& worker, const worker_report& report)
 {
-    std::map<jobs::task_key, std::uint64_t> listed;
-    for (const listed_run& run : report.running)
-    {
-        listed[run.task] = run.run;
-    }
     for (auto run = worker.runs.begin(); run != worker.runs.end();)
     {
         active_run& active = run->second;
-        const bool present = listed.count(run->first) != 0;
+        const bool present = active.listed_in == worker.reports;
         if (!present && active.phase == run_phase::uncertain &&
             report.sent_at > active.known_at)
         {
             // The order may still be on its way; a stop that is carried out
             // keeps the worker from starting the run later.
-            request_stop(active);
+            request_stop(worker, active);
         }
         const bool settled = active.phase == run_phase::running
                                  ? report.sent_at > active.known_at
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -37,6 +37,8 @@
     run.uses_leftover = spec.uses_leftover;
     run.latency_target_ms = static_cast<double>(spec.latency_target.count());
     run.team = job.submission.team;
+    run.priority = job.queue != nullptr ? job.queue->priority : 0;
+    run.preemptible = spec.checkpoints && !spec.gang && !spec.standing;
     if (spec.uses_leftover)
     {
         run.room.cpu_milli = 0;
@@ -79,7 +81,8 @@
 fleet::run_map::iterator fleet::drop_run(worker_record& worker,
                                          run_map::iterator run)
 {
-    const active_run& dropped = run->second;
+    active_run& dropped = run->second;
+    forget_stop(worker, dropped);
     worker.used -= dropped.room;
     worker.unmeasured -= dropped.unmeasured ? 1 : 0;
     if (dropped.uses_leftover)
@@ -108,13 +111,28 @@
     }
 }
 
-void fleet::request_stop(active_run& run)
+void fleet::request_stop(worker_record& worker, active_run& run)
 {
     if (run.phase != run_phase::stopping)
     {
         run.phase = run_phase::stopping;
         run.stop_pending = true;
         run.stop_done = false;
+        worker.stop_wanted = true;
+        ++worker.stopping;
+        worker.stopping_room += run.room;
+        stopping_[run.team] += run.need;
+    }
+}
+
+// Before a run leaves the phase of stopping.
+void fleet::forget_stop(worker_record& worker, active_run& run)
+{
+    if (run.phase == run_phase::stopping)
+    {
+        --worker.stopping;
+        worker.stopping_room -= run.room;
+        stopping_[run.team] -= run.need;
     }
 }
 
@@ -122,6 +140,11 @@
 {
     for (auto& [worker_id, worker] : workers_)
     {
+        if (worker.unmeasured == 0)
+        {
+            // Only runs of unknown jobs wait for their job.
+            continue;
+        }
         for (auto run = worker.runs.lower_bound({{id, 0, 0}, 0});
              run != worker.runs.end() && run->first.step.job == id; ++run)
         {
@@ -132,6 +155,7 @@
             {
                 continue;
             }
+            forget_stop(worker, run->second);
             run->second.phase = run_phase::running;
             run->second.known_at = now;
             attach(worker, run->first, run->second, *task);
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -27,15 +27,19 @@
         {
             continue;
         }
-        const bool all = any_room(next) &&
-                         (next.spec->gang ? start_gang(next, now, orders)
-                                          : start_single(next, now, orders));
+        const bool room = any_room(next);
+        next.considered = room || next.round->unmet < options_.considered_steps;
+        if (next.considered)
+        {
+            find_allowed(next);
+        }
+        const bool all =
+            room && (next.spec->gang ? start_gang(next, now, orders)
+                                     : start_single(next, now, orders));
         if (all)
         {
             continue;
         }
-        next.considered =
-            next.round->unmet < options_.considered_steps || any_room(next);
         ++next.round->unmet;
         if (next.considered)
         {
@@ -56,10 +60,9 @@
         double best_cost = std::numeric_limits<double>::max();
         if (left.empty() && within_limit(next, 1))
         {
-            for (worker_record* worker : next.round->open)
+            for (worker_record* worker : next.allowed)
             {
-                if (!usable(*worker, next) || !has_room(*worker, next) ||
-                    !has_ticket(*worker, next, now))
+                if (!has_room(*worker, next) || !has_ticket(*worker, next, now))
                 {
                     continue;
                 }
@@ -96,9 +99,9 @@
     }
     std::vector<worker_record*> open;
     std::set<std::string> racks;
-    for (worker_record* worker : next.round->open)
+    for (worker_record* worker : next.allowed)
     {
-        if (usable(*worker, next) && has_ticket(*worker, next, now))
+        if (has_ticket(*worker, next, now))
         {
             open.push_back(worker);
             racks.insert(worker->listing.labels.empty()
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -19,6 +19,10 @@
 // this time: the platform ends a run within a fraction of it.
 constexpr std::chrono::milliseconds stop_patience{2000};
 
+// Runs are looked through for stalled ones this often: every run of the cell
+// is visited, and a stall counts after seconds.
+constexpr std::chrono::milliseconds stall_check_period{100};
+
 // The pace of tasks on leftover capacity is changed at most this often: the
 // load that workers report is a mean over half a second.
 constexpr std::chrono::milliseconds pace_period{400};
@@ -73,37 +77,45 @@
         }
         if (dead && !worker.listed)
         {
+            numbered_[static_cast<std::size_t>(worker.number)] = nullptr;
             it = workers_.erase(it);
             continue;
         }
-        for (auto& [key, run] : worker.runs)
+        if (worker.unmeasured > 0 || worker.stopping > 0)
         {
-            const bool unknown_job =
-                run.stray && find_job(key.step.job) == nullptr;
-            if (unknown_job && now - run.ordered_at > options_.unknown_job_wait)
-            {
-                request_stop(run);
-            }
-            if (run.phase != run_phase::stopping || run.stop_pending)
-            {
-                continue;
-            }
-            const auto patience =
-                run.stop_done ? stop_patience : options_.stop_retry;
-            run.stop_pending = now - run.stop_at > patience;
+            settle_stops(worker, now);
         }
         ++it;
     }
 }
 
-void fleet::settle_jobs(base::time_point now, wall_time wall)
+// Stops runs of jobs that stay unknown, and repeats stops without effect.
+void fleet::settle_stops(worker_record& worker, base::time_point now)
 {
-    for (auto& [id, job] : jobs_)
+    for (auto& [key, run] : worker.runs)
     {
-        if (job.final_state())
+        if (run.unmeasured && now - run.ordered_at > options_.unknown_job_wait)
+        {
+            request_stop(worker, run);
+        }
+        if (run.phase != run_phase::stopping || run.stop_pending)
         {
             continue;
         }
+        const auto patience =
+            run.stop_done ? stop_patience : options_.stop_retry;
+        run.stop_pending = now - run.stop_at > patience;
+        worker.stop_wanted = worker.stop_wanted || run.stop_pending;
+    }
+}
+
+void fleet::settle_jobs(base::time_point now, wall_time wall)
+{
+    for (auto it = open_jobs_.begin(); it != open_jobs_.end();)
+    {
+        job_record& job = *it->second;
+        // A job that is completed here leaves the map.
+        ++it;
         if (job.submission.spec.timed())
         {
             open_occurrences(job, wall);
@@ -117,7 +129,7 @@
                     steps[s].active > 0)
                 {
                     stop_broken_gang(
-                        {id, static_cast<int>(k), static_cast<int>(s)},
+                        {job.id, static_cast<int>(k), static_cast<int>(s)},
                         steps[s]);
                 }
             }
@@ -149,13 +161,18 @@
         const auto run = worker->second.runs.find({key, static_cast<int>(i)});
         if (run != worker->second.runs.end())
         {
-            request_stop(run->second);
+            request_stop(worker->second, run->second);
         }
     }
 }
 
 void fleet::stop_stalled(base::time_point now)
 {
+    if (now - stalls_checked_at_ < stall_check_period)
+    {
+        return;
+    }
+    stalls_checked_at_ = now;
     for (auto& [id, worker] : workers_)
     {
         if (worker.silent)
@@ -175,7 +192,7 @@
                       "run={} worker={} percent={}",
                       key.step.job.text(), key.step.step, key.index, run.run,
                       id.text(), run.percent);
-            request_stop(run);
+            request_stop(worker, run);
             task_record* task = find_task(key);
             if (task != nullptr)
             {
@@ -191,6 +208,11 @@
 {
     for (auto& [id, worker] : workers_)
     {
+        if (!worker.stop_wanted)
+        {
+            continue;
+        }
+        worker.stop_wanted = false;
         for (auto& [key, run] : worker.runs)
         {
             if (run.phase == run_phase::stopping && run.stop_pending)
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -179,6 +179,40 @@
     return named;
 }
 
+bool fleet::any_fresh_ticket(const candidate& next, base::time_point now) const
+{
+    return std::any_of(next.record->tickets.begin(), next.record->tickets.end(),
+                       [&](const auto& held)
+                       {
+                           const worker_record* worker =
+                               numbered_[static_cast<std::size_t>(held.first)];
+                           return worker != nullptr && worker->open &&
+                                  usable(*worker, next) &&
+                                  has_ticket(*worker, next, now);
+                       });
+}
+
+// Whether a worker with room may run the step, as far as is known, and has no
+// fresh ticket of it.
+bool fleet::any_unasked_room(const candidate& next, base::time_point now) const
+{
+    return may_have_room(next) &&
+           std::any_of(
+               next.round->open.begin(), next.round->open.end(),
+               [&](const worker_record* worker)
+               {
+                   if (!has_room(*worker, next) || !usable(*worker, next))
+                   {
+                       return false;
+                   }
+                   const auto refused =
+                       next.record->refused.find(worker->number);
+                   const bool may = refused == next.record->refused.end() ||
+                                    refused->second != worker->life;
+                   return may && !has_ticket(*worker, next, now);
+               });
+}
+
 void fleet::order_tickets(std::vector<candidate>& waiting, base::time_point now,
                           ticket_slots slots, std::vector<order>& orders)
 {
@@ -202,23 +236,6 @@
         {
             continue;
         }
-        bool fresh = false;
-        bool room = false;
-        for (const worker_record* entry : next.round->open)
-        {
-            const worker_record& worker = *entry;
-            if (!usable(worker, next))
-            {
-                continue;
-            }
-            const bool ticket = has_ticket(worker, next, now);
-            const bool fits = has_room(worker, next);
-            const auto refused = next.record->refused.find(worker.number);
-            const bool may = refused == next.record->refused.end() ||
-                             refused->second != worker.life;
-            fresh = fresh || ticket;
-            room = room || (may && fits && !ticket);
-        }
         const bool ready = !next.pending.empty();
         std::size_t& head = heads[next.queue->service];
         const auto& policy = *next.queue->tickets;
@@ -227,7 +244,9 @@
         head += ready && !cheap ? 1 : 0;
         // A step that waits for room asks again when its tickets have run out;
         // one that could start on other workers asks for those.
-        const bool wanted = ready ? (room || (at_head && !fresh)) : !fresh;
+        const bool wanted =
+            (ready && any_unasked_room(next, now)) ||
+            ((!ready || at_head) && !any_fresh_ticket(next, now));
         if (!wanted)
         {
             continue;
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -22,8 +22,10 @@
     {
         worker_record added(
             listing, worker_lease(options_.lease, options_.longest_lease));
-        added.number = next_worker_number_++;
-        workers_.emplace(listing.worker, std::move(added));
+        added.number = static_cast<int>(numbered_.size());
+        const auto placed =
+            workers_.emplace(listing.worker, std::move(added)).first;
+        numbered_.push_back(&placed->second);
         base::log(base::log_level::info, log_part,
                   "Worker listed. worker={} service={} address={} leaving={}",
                   listing.worker.text(), listing.service.text(),
