Put jobs that cannot be on time behind those that can

Cause: steps of one queue went by due time alone. Occurrences of timed jobs counted from the time of the submission, so all but the first were late from the start.

Change: a step's rank takes the rest of its job into account, with the time for tickets that the platform counts and what checkpoints saved: late if it cannot be on time, doubtful if it hardly can. Occurrences count from their own time.

--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -8,6 +8,8 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -37,6 +39,8 @@
     std::uint64_t last_run = 0;
     jobs::failed_runs failures;
     std::string checkpoint;
+    // The progress, in percent, that the checkpoint stands for.
+    int saved_percent = 0;
     // Not started before this time.
     base::time_point not_before;
     // Where it failed or stood still last.
@@ -83,13 +87,31 @@
     // The state in the last stored row.
     jobs::job_state saved_state = jobs::job_state::queued;
     base::time_point submitted_at;
-    // On time until this moment, of some use until the second.
-    base::time_point due;
-    base::time_point late_end;
+    // An occurrence that takes longer than this is late.
+    base::duration objective{0};
+    // For each step the time from its start to the end of the job if nothing
+    // waits, by the estimates.
+    std::vector<std::chrono::milliseconds> paths;
     // Beyond the share of its team.
     bool over_share = false;
     base::time_point finished_at;
 
+    // The time from which an occurrence counts: its own, or that of the job.
+    base::time_point counts_from(std::size_t occurrence) const
+    {
+        const jobs::job_spec& spec = submission.spec;
+        if (!spec.timed())
+        {
+            return submitted_at;
+        }
+        const auto due = spec.first_due +
+                         static_cast<std::int64_t>(occurrence) * spec.interval -
+                         submission.submitted;
+        return submitted_at +
+               std::max(base::duration(0),
+                        std::chrono::duration_cast<base::duration>(due));
+    }
+
     bool final_state() const
     {
         return jobs::is_final(state);
--- a/include/coltsfootrack/jobs/job_spec.hpp
+++ b/include/coltsfootrack/jobs/job_spec.hpp
@@ -59,9 +59,15 @@
 // a dependency on a later step, or a limit above that is passed.
 absl::Status check(const job_spec& spec);
 
-// The longest chain of estimates through the steps: the least time that one
-// occurrence takes when nothing waits.
-std::chrono::milliseconds critical_path(const job_spec& spec);
+// For each step the longest chain of estimates from its start to the end of the
+// job, with `each` added for every step.
+std::vector<std::chrono::milliseconds>
+remaining_paths(const job_spec& spec, std::chrono::milliseconds each);
+
+// The longest of these: the least time that one occurrence takes when nothing
+// waits.
+std::chrono::milliseconds critical_path(const job_spec& spec,
+                                        std::chrono::milliseconds each);
 
 } // namespace coltsfootrack::jobs
 
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -19,17 +19,63 @@
 constexpr int over_share_rank = 10;
 constexpr int useless_rank = 100;
 
-int rank_of(const job_record& job, const queue_policy& queue, bool standing,
-            base::time_point now)
+// A job that takes more than this multiple of its objective is of no use to its
+// caller any more; the platform's pages name the figure.
+constexpr int useless_after = 3;
+
+// A job that may still be on time, but not surely, goes behind those that will
+// be: the earliest due are always the ones at the brink, and would be late
+// often.
+constexpr int doubtful_rank = 1;
+
+// Estimates are rough. A job that has this multiple of its estimates left will
+// be on time, one with less than the second will not.
+constexpr double surely = 1.1;
+constexpr double hardly = 0.8;
+
+// The time from now to the end of the job, by the estimates less what
+// checkpoints have saved of the step.
+base::duration time_left(const candidate& next)
 {
-    int rank = queue.priority;
-    if (!standing && now > job.late_end)
+    int saved = 100;
+    for (const int index : next.pending)
     {
-        rank += useless_rank;
+        const task_record& task =
+            next.record->tasks[static_cast<std::size_t>(index)];
+        saved = std::min(saved, task.saved_percent);
     }
-    else if (!standing && now > job.due)
+    saved = next.pending.empty() ? 0 : saved;
+    const auto path = next.job->paths[static_cast<std::size_t>(next.key.step)];
+    return path - next.spec->estimate * saved / 100;
+}
+
+// The rank of a step whose due time is set.
+//
+// Load pattern: more urgent work than fits. Not all jobs can be on time, so one
+// that cannot be any more makes way for those that can, instead of making them
+// late as well.
+int rank_of(const candidate& next, base::time_point now)
+{
+    const job_record& job = *next.job;
+    int rank = next.queue->priority;
+    if (!next.spec->standing)
     {
-        rank += late_rank;
+        const std::chrono::duration<double> path = time_left(next);
+        const std::chrono::duration<double> slack = next.due - now;
+        const std::chrono::duration<double> more =
+            (useless_after - 1) * job.objective;
+        if (hardly * path > slack + more)
+        {
+            rank += useless_rank;
+        }
+        else if (hardly * path > slack)
+        {
+            rank += late_rank;
+        }
+        else if (surely * path > slack)
+        {
+            rank += doubtful_rank;
+        }
     }
     return job.over_share ? rank + over_share_rank : rank;
 }
@@ -143,8 +189,8 @@
             next.record = &step;
             next.spec = &spec;
             next.key = {job.id, static_cast<int>(k), static_cast<int>(s)};
-            next.rank = rank_of(job, *job.queue, spec.standing, now);
-            next.due = job.due;
+            next.due = job.counts_from(k) + job.objective;
+            next.rank = rank_of(next, now);
             found.push_back(std::move(next));
         }
     }
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -10,9 +10,8 @@
 namespace
 {
 
-// A job that is late by more than this multiple of its objective is of no use
-// to its caller any more; the platform's pages name the figure.
-constexpr int useless_after = 3;
+// The workers that the platform counts for the tickets of a step.
+constexpr int counted_workers = 30;
 
 constexpr std::string_view log_part = "fleet";
 
@@ -87,11 +86,18 @@
     {
         return;
     }
-    const base::duration objective =
-        scaled(jobs::critical_path(job.submission.spec), queue->stretch) +
-        queue->slack;
-    job.due = job.submitted_at + objective;
-    job.late_end = job.submitted_at + useless_after * objective;
+    // The platform counts one request for tickets of some workers a step.
+    std::chrono::milliseconds tickets{0};
+    if (queue->tickets)
+    {
+        tickets = std::chrono::ceil<std::chrono::milliseconds>(
+            queue->tickets->decide_time +
+            counted_workers * queue->tickets->each_time);
+    }
+    job.paths = jobs::remaining_paths(job.submission.spec, tickets);
+    job.objective = scaled(jobs::critical_path(job.submission.spec, tickets),
+                           queue->stretch) +
+                    queue->slack;
 }
 
 void fleet::add_job(const base::job_id& id,
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -96,6 +96,7 @@
         if (!dropped.checkpoint.empty())
         {
             task->checkpoint = dropped.checkpoint;
+            task->saved_percent = dropped.percent;
         }
         task->worker.reset();
         --find_step(run->first.step)->active;
--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/job_spec.cpp
@@ -71,21 +71,31 @@
     return absl::OkStatus();
 }
 
-std::chrono::milliseconds critical_path(const job_spec& spec)
+std::vector<std::chrono::milliseconds>
+remaining_paths(const job_spec& spec, std::chrono::milliseconds each)
 {
-    std::vector<std::chrono::milliseconds> ends;
-    std::chrono::milliseconds longest{0};
-    for (const step_spec& step : spec.steps)
+    std::vector<std::chrono::milliseconds> paths(spec.steps.size(),
+                                                 std::chrono::milliseconds(0));
+    // A step waits for earlier ones only, so all that wait for a step are done
+    // before it. A path holds what follows until its own step is added.
+    for (std::size_t i = spec.steps.size(); i-- > 0;)
     {
-        std::chrono::milliseconds start{0};
-        for (const int earlier : step.after)
+        paths[i] += spec.steps[i].estimate + each;
+        for (const int earlier : spec.steps[i].after)
         {
-            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+            auto& path = paths[static_cast<std::size_t>(earlier)];
+            path = std::max(path, paths[i]);
         }
-        ends.push_back(start + step.estimate);
-        longest = std::max(longest, ends.back());
     }
-    return longest;
+    return paths;
+}
+
+std::chrono::milliseconds critical_path(const job_spec& spec,
+                                        std::chrono::milliseconds each)
+{
+    const auto paths = remaining_paths(spec, each);
+    return paths.empty() ? std::chrono::milliseconds(0)
+                         : *std::max_element(paths.begin(), paths.end());
 }
 
 } // namespace coltsfootrack::jobs
--- a/test/jobs/stored_rows_test.cpp
+++ b/test/jobs/stored_rows_test.cpp
@@ -157,7 +157,14 @@
             spec.steps.push_back(step);
         }
         spec.steps[2].after = {0, 1};
-        CPPUNIT_ASSERT(critical_path(spec) == std::chrono::milliseconds(350));
+        using std::chrono::milliseconds;
+        CPPUNIT_ASSERT(critical_path(spec, milliseconds(0)) ==
+                       milliseconds(350));
+        CPPUNIT_ASSERT(critical_path(spec, milliseconds(10)) ==
+                       milliseconds(370));
+        const std::vector<milliseconds> wanted{
+            milliseconds(150), milliseconds(350), milliseconds(50)};
+        CPPUNIT_ASSERT(remaining_paths(spec, milliseconds(0)) == wanted);
     }
 };
 
