Notice silent stores sooner, find out at once what became of orders

Ruled out: taking a refused connection for the end of a worker; a network can reset connections of a worker that runs.

Reports that were overtaken by newer ones are ignored, which looks beside a renewal need.

--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -84,6 +84,9 @@
     // the leader has not told it for a while.
     std::optional<int> waiting(const std::string& queue) const;
 
+    // When a caller that was refused for want of the store may come back.
+    std::chrono::seconds retry_after() const;
+
     // Lets another daemon lead, and reports not ready from now on.
     void hand_over();
 
@@ -105,6 +108,8 @@
         base::time_point waiting_at;
         bool waiting_known = false;
         bool stopping = false;
+        // Since the store does not answer here; nothing if it does.
+        std::optional<base::time_point> store_down_since;
     };
 
     struct question
@@ -177,6 +182,7 @@
     void end_relay(std::uint64_t nonce, const std::string& error);
     void state_from_store(const base::job_id& id, state_callback done);
     void note_store(bool answered, std::chrono::milliseconds delay);
+    void notice_silence();
     void publish_waiting(const std::map<std::string, int>& counts);
 
     cell_options options_;
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -53,8 +53,12 @@
     // The pause after a read of changes of jobs or workers, so that changes
     // are taken in groups.
     milliseconds follow_pause{250};
-    // How long a worker's answer waits for an end.
-    milliseconds renewal_wait{1000};
+    // How long a worker's answer waits for an end: as long that idle workers
+    // are looked at this often in all, within these bounds. What a lost answer
+    // held is not known until the wait and the timeout are over.
+    int idle_renewals_per_second = 100;
+    milliseconds shortest_renewal_wait{400};
+    milliseconds longest_renewal_wait{1000};
     // Between two renewals of a worker that has ends which are not stored yet,
     // and between two attempts at one that does not answer.
     milliseconds renewal_pause{250};
@@ -63,6 +67,9 @@
     milliseconds step_pause{8};
     // And at least this often.
     milliseconds step_period{50};
+    // A store that has not answered a write for this long, nor anything since,
+    // is taken to be silent. It takes 360 ms for a write when it is slow.
+    milliseconds silent_after{700};
     // A submission that was not sent to the store by then is refused.
     milliseconds submit_limit{1000};
     // A peer is asked only if the local attempt took less: callers wait 3 s.
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -94,6 +94,8 @@
     {
         bool in_flight = false;
         base::time_point next_at;
+        // A look without a wait is in flight beside it.
+        bool looking = false;
     };
 
     void fence_part(std::size_t part);
@@ -113,6 +115,8 @@
     void carry_out(const fleet::save_order& next);
     void renew_all();
     void renew(const base::worker_id& id, renewal& state);
+    void look_at(const base::worker_id& id);
+    std::chrono::milliseconds renewal_wait() const;
     void on_renewed(const base::worker_id& id, const renewal_result& result);
     void note_outcome(fleet::order_outcome outcome,
                       const base::worker_id& worker);
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -101,6 +101,13 @@
     // Gives up all updates, without callbacks.
     void drop_updates();
 
+    // When the transaction in flight was sent; nothing without one.
+    std::optional<base::time_point> in_flight_since() const
+    {
+        return batch_.empty() ? std::nullopt
+                              : std::optional<base::time_point>(sent_at_);
+    }
+
     // The last transaction was refused or not answered.
     bool doubtful() const
     {
--- a/include/coltsfootrack/cell/table_follower.hpp
+++ b/include/coltsfootrack/cell/table_follower.hpp
@@ -57,6 +57,8 @@
     hooks hooks_;
     std::vector<stored_row> rows_;
     std::uint64_t version_ = 0;
+    // The last read of changes failed.
+    bool failed_ = false;
     std::shared_ptr<bool> alive_;
 };
 
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -79,6 +79,14 @@
     // A renewal was not answered.
     void on_silence(const base::worker_id& worker);
 
+    // Another worker answers at its address, so this one has ended, with all
+    // that ran there.
+    void on_replaced(const base::worker_id& worker);
+
+    // Whether it is open what became of a run on a worker: the order to start
+    // it was not answered, and no report since then shows it or its end.
+    bool has_open_start(const base::worker_id& worker) const;
+
     void on_start(const base::worker_id& worker, const jobs::task_key& task,
                   std::uint64_t run, order_outcome outcome,
                   base::time_point now);
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -40,7 +40,13 @@
     bool synced = false;
     // The last renewal was not answered.
     bool silent = false;
+    // Another worker has answered at its address.
+    bool replaced = false;
     std::int64_t life = 0;
+    // The worker's clock at its newest report. Answers on different connections
+    // may overtake each other, and an old list would show runs again that have
+    // ended.
+    std::chrono::milliseconds report_clock{0};
     worker_lease lease;
     run_map runs;
     // The sum of the room of the runs.
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -5,6 +5,7 @@
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/cell_daemon.hpp>
 #include <coltsfootrack/cell/member_row.hpp>
+#include <coltsfootrack/cell/retry_after.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -107,6 +108,7 @@
                 [this]
                 {
                     elect();
+                    notice_silence();
                     commit();
                 });
     control_ = std::thread([this] { loop_.run(); });
@@ -137,6 +139,14 @@
     return found == published_.waiting.end() ? 0 : found->second;
 }
 
+std::chrono::seconds cell_daemon::retry_after() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return cell::retry_after(published_.store_down_since
+                                 ? clock_.now() - *published_.store_down_since
+                                 : base::duration(0));
+}
+
 void cell_daemon::hand_over()
 {
     {
@@ -222,9 +232,32 @@
     if (answered != store_up_)
     {
         store_up_ = answered;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            published_.store_down_since =
+                answered ? std::nullopt
+                         : std::optional<base::time_point>(clock_.now());
+        }
         base::log(base::log_level::info, log_part, "{}",
                   answered ? "Store answers." : "Store does not answer.");
     }
 }
 
+// A store that takes calls and answers none: until the call in flight is given
+// up, seconds later, each further submission would be sent, and be unknown.
+void cell_daemon::notice_silence()
+{
+    const base::time_point now = clock_.now();
+    for (const row_committer& committer : committers_)
+    {
+        const auto sent = committer.in_flight_since();
+        if (store_up_ && sent && now - *sent > options_.silent_after &&
+            store_answered_at_ < *sent)
+        {
+            note_store(false, election_.store_delay());
+            return;
+        }
+    }
+}
+
 } // namespace coltsfootrack::cell
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -223,6 +223,10 @@
                 }
                 note_outcome(outcome, worker);
                 fleet_.on_start(worker, task, run, outcome, clock_.now());
+                if (outcome == fleet::order_outcome::unknown)
+                {
+                    look_at(worker);
+                }
                 if (outcome != fleet::order_outcome::carried_out)
                 {
                     request_step();
@@ -246,6 +250,10 @@
                                   note_outcome(outcome, worker);
                                   fleet_.on_stop(worker, task, run, outcome,
                                                  clock_.now());
+                                  if (fleet_.has_open_start(worker))
+                                  {
+                                      look_at(worker);
+                                  }
                               }));
 }
 
@@ -352,7 +360,7 @@
     // gone soon.
     const bool waits = worker.synced && !worker.silent &&
                        worker.ends_seen == worker.ends_durable;
-    next.wait = waits ? options_.renewal_wait : std::chrono::milliseconds(0);
+    next.wait = waits ? renewal_wait() : std::chrono::milliseconds(0);
     state.in_flight = true;
     outside_.workers.renew(worker.listing, next,
                            posted<renewal_result>(
@@ -363,6 +371,47 @@
                                }));
 }
 
+std::chrono::milliseconds leadership::renewal_wait() const
+{
+    const auto wait = std::chrono::milliseconds(std::chrono::seconds(1)) *
+                      fleet_.workers().size() /
+                      options_.idle_renewals_per_second;
+    return std::clamp<std::chrono::milliseconds>(
+        wait, options_.shortest_renewal_wait, options_.longest_renewal_wait);
+}
+
+// Looks at a worker beside the renewal that waits there: what became of an
+// order that was not answered is wanted at once.
+void leadership::look_at(const base::worker_id& id)
+{
+    const auto worker = fleet_.workers().find(id);
+    renewal& state = renewals_[id];
+    if (worker == fleet_.workers().end() || state.looking)
+    {
+        return;
+    }
+    const base::time_point now = clock_.now();
+    lease_renewal next;
+    next.epoch = epoch();
+    next.acknowledged = fleet_.acknowledged(id);
+    next.lease_end = fleet_.grant_lease(id, now);
+    state.looking = true;
+    outside_.workers.renew(
+        worker->second.listing, next,
+        posted<renewal_result>(
+            [this, id, now](renewal_result result)
+            {
+                renewals_[id].looking = false;
+                note_outcome(result.outcome, id);
+                if (result.outcome == fleet::order_outcome::carried_out)
+                {
+                    result.report.sent_at = now;
+                    fleet_.on_report(id, result.report, clock_.now());
+                    request_step();
+                }
+            }));
+}
+
 void leadership::on_renewed(const base::worker_id& id,
                             const renewal_result& result)
 {
@@ -372,6 +421,10 @@
     note_outcome(result.outcome, id);
     if (result.outcome != fleet::order_outcome::carried_out)
     {
+        if (result.outcome == fleet::order_outcome::other_worker)
+        {
+            fleet_.on_replaced(id);
+        }
         fleet_.on_silence(id);
         state.next_at = now + refused_pause;
         loop_.after(refused_pause, guarded([this] { request_step(); }));
--- /dev/null
+++ b/src/cell/retry_after.cpp
@@ -0,0 +1,25 @@
+#include <coltsfootrack/cell/retry_after.hpp>
+
+#include <algorithm>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+// Connections to other daemons are tried with the next attempt, so a second is
+// enough for an outage of one daemon.
+constexpr std::chrono::seconds shortest{1};
+
+// Objectives of most jobs are some seconds to some tens of seconds.
+constexpr std::chrono::seconds longest{4};
+
+} // namespace
+
+std::chrono::seconds retry_after(base::duration outage_age)
+{
+    return std::clamp(std::chrono::ceil<std::chrono::seconds>(outage_age),
+                      shortest, longest);
+}
+
+} // namespace coltsfootrack::cell
--- a/src/cell/table_follower.cpp
+++ b/src/cell/table_follower.cpp
@@ -14,7 +14,7 @@
 constexpr std::string_view log_part = "store";
 
 // The pause after a read that failed.
-constexpr std::chrono::milliseconds retry_pause{200};
+constexpr std::chrono::milliseconds retry_pause{100};
 
 } // namespace
 
@@ -106,7 +106,10 @@
 
 void table_follower::follow()
 {
-    store_.follow(table_, version_, wait_,
+    // After a failure the answer is wanted at once: one that waits for a change
+    // would leave it open for seconds whether the store is back.
+    const auto wait = failed_ ? std::chrono::milliseconds(0) : wait_;
+    store_.follow(table_, version_, wait,
                   [this, alive = std::weak_ptr<bool>(alive_),
                    &loop = loop_](read_result result)
                   {
@@ -123,7 +126,8 @@
 
 void table_follower::on_followed(const read_result& result)
 {
-    hooks_.on_answer(result.status != read_status::failed);
+    failed_ = result.status == read_status::failed;
+    hooks_.on_answer(!failed_);
     if (result.status == read_status::history_gone)
     {
         base::log(base::log_level::info, log_part,
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -23,6 +23,15 @@
         return;
     }
     worker_record& worker = found->second;
+    const bool old =
+        report.life < worker.life ||
+        (report.life == worker.life && report.clock < worker.report_clock);
+    if (worker.synced && old)
+    {
+        return;
+    }
+    worker.report_clock = report.clock;
+    worker.replaced = false;
     if (worker.synced && worker.life != report.life)
     {
         base::log(base::log_level::warning, log_part,
@@ -109,6 +118,7 @@
         active_run& run = found->second;
         run.missing = 0;
         run.listed_in = worker.reports;
+        run.start_open = false;
         if (run.phase == run_phase::starting ||
             run.phase == run_phase::uncertain)
         {
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -67,7 +67,8 @@
     {
         worker_record& worker = it->second;
         const bool dead =
-            (worker.silent || !worker.synced) && worker.lease.over(now, since_);
+            worker.replaced || ((worker.silent || !worker.synced) &&
+                                worker.lease.over(now, since_));
         if (dead && !worker.runs.empty())
         {
             base::log(base::log_level::warning, log_part,
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -93,6 +93,40 @@
     }
 }
 
+void fleet::on_replaced(const base::worker_id& id)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+    {
+        return;
+    }
+    worker_record& worker = found->second;
+    if (!worker.replaced)
+    {
+        base::log(base::log_level::info, log_part,
+                  "Worker has ended: another answers at its address. worker={} "
+                  "runs={}",
+                  id.text(), worker.runs.size());
+    }
+    worker.replaced = true;
+    worker.silent = true;
+    lose_all(worker);
+}
+
+bool fleet::has_open_start(const base::worker_id& id) const
+{
+    const auto found = workers_.find(id);
+    return found != workers_.end() && !found->second.silent &&
+           std::any_of(found->second.runs.begin(), found->second.runs.end(),
+                       [](const auto& entry)
+                       {
+                           const active_run& run = entry.second;
+                           return run.phase == run_phase::uncertain ||
+                                  (run.phase == run_phase::stopping &&
+                                   run.stop_done && run.start_open);
+                       });
+}
+
 void fleet::note_health(worker_record& worker, const run_end& end,
                         base::time_point now)
 {
@@ -156,6 +190,7 @@
         if (active->second.phase == run_phase::starting)
         {
             active->second.phase = run_phase::uncertain;
+            active->second.start_open = true;
             active->second.known_at = now;
         }
         return;
