Reserve for an urgent step what was made free for it

Runs that were stopped started again as soon as a part of the limit was free, and were stopped again. The same holds for room on workers.

Change: the room that a step waits for, and its part of the limit, count as taken for the steps after it, beyond what is being stopped anyway. Runs are stopped only if the limit of the team can be made free for the step, and the room too.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -21,6 +21,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace coltsfootrack::fleet
@@ -145,6 +146,16 @@
     base::resources usage_of(const base::team_id& team) const;
 
 private:
+    using stoppable_run =
+        std::pair<worker_record*, worker_record::run_map::iterator>;
+
+    // What has to be stopped so that the limit of a team allows some tasks.
+    struct limit_plan
+    {
+        int tasks = 0;
+        std::vector<stoppable_run> stops;
+    };
+
     // Jobs.
     job_record* find_job(const base::job_id& id);
     step_record* find_step(const jobs::step_key& key);
@@ -217,6 +228,9 @@
     bool has_ticket(const worker_record& worker, const candidate& next,
                     base::time_point now) const;
     bool within_limit(const candidate& next, int count) const;
+    base::resources reserved_by_others(const worker_record& worker,
+                                       const candidate& next) const;
+    base::resources claimed_by_others(const candidate& next) const;
     double cost_of(const worker_record& worker, const candidate& next) const;
     void order_start(const candidate& next, int index, worker_record& worker,
                      std::uint64_t run, base::time_point now,
@@ -228,8 +242,10 @@
     bool any_room(const candidate& next) const;
     bool any_fresh_ticket(const candidate& next, base::time_point now) const;
     bool any_unasked_room(const candidate& next, base::time_point now) const;
-    void make_room(const candidate& next, base::time_point now);
-    bool make_limit(const candidate& next, base::time_point now);
+    void make_room(candidate& next, base::time_point now);
+    bool make_room_for_one(candidate& next);
+    limit_plan plan_limit(const candidate& next, base::time_point now);
+    void claim_limit(candidate& next, const limit_plan& plan);
     void find_victims(service_round& round, base::time_point now);
     void order_tickets(std::vector<candidate>& waiting, base::time_point now,
                        ticket_slots slots, std::vector<order>& orders);
@@ -253,7 +269,7 @@
     base::time_point stalls_checked_at_;
     std::map<base::team_id, share_meter> shares_;
     // Of the present round: the workers of each service that take tasks, and
-    // what steps that came before wait for of the limits of teams.
+    // what steps that came before reserved of the limits of teams.
     std::map<base::service_id, service_round> rounds_;
     std::map<base::team_id, base::resources> claimed_limits_;
 };
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -75,11 +75,11 @@
     bool several_jobs_failed = false;
     int quarantines = 0;
     base::time_point avoided_until;
-    // Of the present round: whether it takes tasks; the room of runs that are
-    // being stopped, less what steps wait for; the step that it is kept free
-    // for; the runs that may be stopped for urgent work, and their room.
+    // Of the present round: whether it takes tasks; the room that steps wait
+    // for here; the step that it is kept free for; the runs that may be stopped
+    // for urgent work, and their room.
     bool open = false;
-    base::resources promised;
+    base::resources reserved;
     const step_record* kept_for = nullptr;
     std::vector<run_map::iterator> victims;
     base::resources victim_room;
--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -7,6 +7,7 @@
 #include <coltsfootrack/jobs/step_key.hpp>
 
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace coltsfootrack::fleet
@@ -27,6 +28,11 @@
     // label, and with a ticket where it needs one, fresh or not. In ascending
     // order of their numbers.
     std::vector<worker_record*> allowed;
+    // What it has reserved in this round: room on workers, and of the limit of
+    // its team. Whether that much of the limit is free or will be soon.
+    std::vector<std::pair<const worker_record*, base::resources>> reserved;
+    base::resources claimed;
+    bool limit_coming = false;
     // Among the first of its service that found no room.
     bool considered = true;
     // The place in the order; lower goes first.
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -207,7 +207,7 @@
         round.unsettled = round.unsettled ||
                           (!worker.synced && !worker.lease.over(now, since_));
         worker.kept_for = nullptr;
-        worker.promised = worker.stopping_room;
+        worker.reserved = base::resources();
         worker.victims.clear();
         worker.open = worker.listed && worker.synced && !worker.silent &&
                       worker.unmeasured == 0 && !worker.listing.leaving &&
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -56,6 +56,26 @@
            std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
+// The room that steps before this one wait for on a worker, beyond what is
+// being stopped there.
+base::resources fleet::reserved_by_others(const worker_record& worker,
+                                          const candidate& next) const
+{
+    if (worker.reserved == base::resources())
+    {
+        return {};
+    }
+    base::resources others = worker.reserved - worker.stopping_room;
+    for (const auto& [own, room] : next.reserved)
+    {
+        if (own == &worker)
+        {
+            others -= room;
+        }
+    }
+    return component_max(others, base::resources());
+}
+
 bool fleet::has_room(const worker_record& worker, const candidate& next) const
 {
     const jobs::step_spec& spec = *next.spec;
@@ -71,7 +91,8 @@
             return false;
         }
     }
-    if (!(worker.used + room).fits_in(capacity))
+    if (!(worker.used + reserved_by_others(worker, next) + room)
+             .fits_in(capacity))
     {
         return false;
     }
@@ -102,6 +123,21 @@
            held->second.valid_until - options_.ticket_margin > now;
 }
 
+base::resources fleet::claimed_by_others(const candidate& next) const
+{
+    const base::team_id& team = next.job->submission.team;
+    const auto claimed = claimed_limits_.find(team);
+    if (claimed == claimed_limits_.end())
+    {
+        return {};
+    }
+    const auto stopping = stopping_.find(team);
+    const base::resources coming =
+        stopping == stopping_.end() ? base::resources() : stopping->second;
+    return component_max(claimed->second - next.claimed - coming,
+                         base::resources());
+}
+
 bool fleet::within_limit(const candidate& next, int count) const
 {
     const base::team_id& id = next.job->submission.team;
@@ -110,7 +146,8 @@
     {
         return true;
     }
-    const base::resources after = usage_of(id) + next.spec->need * count;
+    const base::resources after =
+        usage_of(id) + claimed_by_others(next) + next.spec->need * count;
     const auto fits = [](std::int64_t used, std::int64_t limit)
     {
         return limit == 0 || used <= limit;
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -29,11 +29,6 @@
 // stop and resume: resuming takes 0.6 s on today's platform.
 constexpr std::chrono::milliseconds least_run{1500};
 
-base::resources positive(const base::resources& value)
-{
-    return component_max(value, base::resources());
-}
-
 // Whether a run may be stopped for a step; it may have been in this round.
 bool less_urgent(const active_run& run, const candidate& next)
 {
@@ -70,146 +65,194 @@
     }
 }
 
-// Stops runs of the same team for a step that its limit holds up. False if the
-// limit is not what the step waits for.
-bool fleet::make_limit(const candidate& next, base::time_point now)
+// Stops runs for a step that could still be on time, and reserves for it what
+// becomes free, on workers and of the limit of its team. Without that, less
+// urgent tasks would start again as soon as a part of it is free, and be
+// stopped again.
+void fleet::make_room(candidate& next, base::time_point now)
 {
-    const base::team_id& id = next.job->submission.team;
-    const team_policy* team = catalogue_->team(id);
-    const int count = static_cast<int>(next.pending.size());
-    if (team == nullptr || within_limit(next, count))
+    if (next.rank != next.queue->priority || next.spec->uses_leftover)
     {
-        return false;
+        return;
     }
-    const base::resources after = usage_of(id) + next.spec->need * count;
-    base::resources over;
-    over.cpu_milli =
-        team->limit.cpu_milli > 0 ? after.cpu_milli - team->limit.cpu_milli : 0;
-    over.memory_mb =
-        team->limit.memory_mb > 0 ? after.memory_mb - team->limit.memory_mb : 0;
-    over.accelerators = team->limit.accelerators > 0
-                            ? after.accelerators - team->limit.accelerators
-                            : 0;
-    base::resources coming = stopping_[id] - claimed_limits_[id];
-    std::vector<std::pair<worker_record*, worker_record::run_map::iterator>>
-        victims;
-    for (auto& [service, round] : rounds_)
+    find_victims(*next.round, now);
+    const limit_plan plan = plan_limit(next, now);
+    int placed = 0;
+    while (placed < plan.tasks && make_room_for_one(next))
     {
-        find_victims(round, now);
-        for (worker_record* worker : round.open)
+        ++placed;
+    }
+    // Part of a gang is of no use, and its limit is not made free for that.
+    if (placed > 0 && (!next.spec->gang || placed == plan.tasks))
+    {
+        claim_limit(next, plan);
+    }
+}
+
+// Reserves room for one task on the worker where the fewest runs have to be
+// stopped for it. False if there is none.
+bool fleet::make_room_for_one(candidate& next)
+{
+    struct option
+    {
+        worker_record* worker = nullptr;
+        std::vector<worker_record::run_map::iterator> victims;
+        std::size_t stopped = std::numeric_limits<std::size_t>::max();
+    };
+    const base::resources& need = next.spec->need;
+    option best;
+    for (worker_record* worker : next.allowed)
+    {
+        base::resources free = worker->listing.capacity - worker->used +
+                               worker->stopping_room - worker->reserved;
+        if (!need.fits_in(worker->listing.capacity) ||
+            !need.fits_in(free + worker->victim_room) ||
+            (worker->kept_for != nullptr && worker->kept_for != next.record))
         {
-            for (const auto run : worker->victims)
+            continue;
+        }
+        option tried;
+        tried.worker = worker;
+        tried.stopped = 0;
+        for (const auto run : worker->victims)
+        {
+            if (need.fits_in(free))
             {
-                if (run->second.team == id && less_urgent(run->second, next))
-                {
-                    victims.emplace_back(worker, run);
-                }
+                break;
             }
+            if (less_urgent(run->second, next))
+            {
+                free += run->second.room;
+                ++tried.stopped;
+                tried.victims.push_back(run);
+            }
+        }
+        if (need.fits_in(free) && tried.stopped < best.stopped)
+        {
+            best = std::move(tried);
         }
     }
-    claimed_limits_[id] += positive(over);
-    // The least advanced first: they would hold the limit longest.
-    std::stable_sort(
-        victims.begin(), victims.end(),
-        [](const auto& a, const auto& b)
-        { return a.second->second.percent < b.second->second.percent; });
-    for (const auto& [worker, victim] : victims)
+    if (best.worker == nullptr)
+    {
+        return false;
+    }
+    best.worker->reserved += need;
+    next.reserved.emplace_back(best.worker, need);
+    for (const auto victim : best.victims)
     {
         const jobs::task_key& key = victim->first;
         active_run& run = victim->second;
-        if (positive(over).fits_in(positive(coming)))
-        {
-            break;
-        }
-        const base::resources missing = positive(over - coming);
-        const bool helps =
-            (missing.cpu_milli > 0 && run.need.cpu_milli > 0) ||
-            (missing.memory_mb > 0 && run.need.memory_mb > 0) ||
-            (missing.accelerators > 0 && run.need.accelerators > 0);
-        if (!helps)
-        {
-            continue;
-        }
-        coming += run.need;
-        request_stop(*worker, run);
+        request_stop(*best.worker, run);
         base::log(base::log_level::info, log_part,
-                  "Run preempted for the limit of its team. job={} step={} "
-                  "task={} run={} percent={} for={}",
+                  "Run preempted. job={} step={} task={} run={} worker={} "
+                  "percent={} for={}",
                   key.step.job.text(), key.step.step, key.index, run.run,
-                  run.percent, next.key.job.text());
+                  best.worker->listing.worker.text(), run.percent,
+                  next.key.job.text());
     }
     return true;
 }
 
-void fleet::make_room(const candidate& next, base::time_point now)
+// Finds how many tasks of a step the limit of its team allows once less urgent
+// runs of the team are stopped, and which ones; none of a gang that it does not
+// allow as a whole.
+fleet::limit_plan fleet::plan_limit(const candidate& next, base::time_point now)
 {
-    if (next.rank != next.queue->priority || next.spec->uses_leftover ||
-        make_limit(next, now))
+    const base::team_id& id = next.job->submission.team;
+    const team_policy* team = catalogue_->team(id);
+    limit_plan plan;
+    plan.tasks = static_cast<int>(next.pending.size());
+    if (team == nullptr)
     {
-        return;
+        return plan;
     }
-    struct option
+    const auto missing_at = [&](std::int64_t limit, std::int64_t wanted)
     {
-        worker_record* worker = nullptr;
-        std::vector<worker_record::run_map::iterator> victims;
-        std::size_t stopped = std::numeric_limits<std::size_t>::max();
+        return limit > 0 ? std::max<std::int64_t>(0, wanted - limit) : 0;
     };
-    find_victims(*next.round, now);
-    const base::resources& need = next.spec->need;
-    for (std::size_t wanted = next.pending.size(); wanted > 0; --wanted)
+    const base::resources used =
+        usage_of(id) - stopping_[id] + claimed_limits_[id];
+    const auto missing = [&](int count)
+    {
+        const base::resources wanted = used + next.spec->need * count;
+        return base::resources{
+            missing_at(team->limit.cpu_milli, wanted.cpu_milli),
+            missing_at(team->limit.memory_mb, wanted.memory_mb),
+            missing_at(team->limit.accelerators, wanted.accelerators)};
+    };
+    const base::resources none;
+    if (missing(plan.tasks) == none)
+    {
+        return plan;
+    }
+    std::vector<stoppable_run> victims;
+    for (auto& [service, round] : rounds_)
     {
-        option best;
-        for (worker_record* worker : next.allowed)
+        find_victims(round, now);
+        for (worker_record* worker : round.open)
         {
-            if (!need.fits_in(worker->listing.capacity))
-            {
-                continue;
-            }
-            base::resources free =
-                worker->listing.capacity - worker->used + worker->promised;
-            if (!need.fits_in(free + worker->victim_room))
-            {
-                continue;
-            }
-            option tried;
-            tried.worker = worker;
-            tried.stopped = 0;
             for (const auto run : worker->victims)
             {
-                if (need.fits_in(free))
-                {
-                    break;
-                }
-                if (less_urgent(run->second, next))
+                if (run->second.team == id && less_urgent(run->second, next))
                 {
-                    free += run->second.room;
-                    ++tried.stopped;
-                    tried.victims.push_back(run);
+                    victims.emplace_back(worker, run);
                 }
             }
-            if (need.fits_in(free) && tried.stopped < best.stopped)
-            {
-                best = tried;
-            }
         }
-        if (best.worker == nullptr)
+    }
+    // The least advanced first: they would hold the limit longest.
+    std::stable_sort(
+        victims.begin(), victims.end(),
+        [](const stoppable_run& a, const stoppable_run& b)
+        { return a.second->second.percent < b.second->second.percent; });
+    base::resources most;
+    for (const stoppable_run& run : victims)
+    {
+        most += run.second->second.need;
+    }
+    while (plan.tasks > 0 && !missing(plan.tasks).fits_in(most))
+    {
+        plan.tasks = next.spec->gang ? 0 : plan.tasks - 1;
+    }
+    base::resources over =
+        plan.tasks > 0 ? missing(plan.tasks) : base::resources();
+    for (const stoppable_run& run : victims)
+    {
+        const base::resources& need = run.second->second.need;
+        const bool helps = (over.cpu_milli > 0 && need.cpu_milli > 0) ||
+                           (over.memory_mb > 0 && need.memory_mb > 0) ||
+                           (over.accelerators > 0 && need.accelerators > 0);
+        if (helps)
         {
-            return;
+            over = component_max(over - need, none);
+            plan.stops.push_back(run);
         }
-        best.worker->promised -= need;
-        for (const auto victim : best.victims)
+    }
+    return plan;
+}
+
+// Claims a part of the limit of its team for a step, and stops the runs that
+// hold it.
+void fleet::claim_limit(candidate& next, const limit_plan& plan)
+{
+    next.claimed = next.spec->need * plan.tasks;
+    next.limit_coming = true;
+    claimed_limits_[next.job->submission.team] += next.claimed;
+    for (const auto& [worker, victim] : plan.stops)
+    {
+        const jobs::task_key& key = victim->first;
+        active_run& run = victim->second;
+        if (run.phase == run_phase::stopping)
         {
-            const jobs::task_key& key = victim->first;
-            active_run& run = victim->second;
-            best.worker->promised += run.room;
-            request_stop(*best.worker, run);
-            base::log(base::log_level::info, log_part,
-                      "Run preempted. job={} step={} task={} run={} worker={} "
-                      "percent={} for={}",
-                      key.step.job.text(), key.step.step, key.index, run.run,
-                      best.worker->listing.worker.text(), run.percent,
-                      next.key.job.text());
+            // Stopped for room on its worker already.
+            continue;
         }
+        request_stop(*worker, run);
+        base::log(base::log_level::info, log_part,
+                  "Run preempted for the limit of its team. job={} step={} "
+                  "task={} run={} percent={} for={}",
+                  key.step.job.text(), key.step.step, key.index, run.run,
+                  run.percent, next.key.job.text());
     }
 }
 
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -224,14 +224,14 @@
             return;
         }
         if (!next.queue->tickets || !next.considered ||
-            !within_limit(next, 1) ||
+            (!next.limit_coming && !within_limit(next, 1)) ||
             (next.record->asking &&
              now - next.record->asked_at <
                  next.queue->tickets->decide_time + answer_slack))
         {
             continue;
         }
-        if (next.spec->gang && !next.pending.empty() &&
+        if (next.spec->gang && !next.pending.empty() && !next.limit_coming &&
             !within_limit(next, static_cast<int>(next.pending.size())))
         {
             continue;
--- a/test/fleet/fleet_replay.cpp
+++ b/test/fleet/fleet_replay.cpp
@@ -12,6 +12,10 @@
 
 constexpr milliseconds tick{5};
 
+// The time that a stop takes, and how much longer every other one does.
+constexpr milliseconds stop_time{200};
+constexpr milliseconds stop_spread{50};
+
 // Workers answer at least this often.
 constexpr milliseconds report_period{500};
 
@@ -125,13 +129,19 @@
     {
         for (auto run = worker.runs.begin(); run != worker.runs.end();)
         {
-            if (run->second.ends > now_)
+            const replayed_run& active = run->second;
+            const bool stopped = active.stops_at && *active.stops_at <= now_;
+            if (active.ends > now_ && !stopped)
             {
                 ++run;
                 continue;
             }
-            worker.ended.push_back({worker.next_end++, run->first,
-                                    run->second.run, end_kind::done, ""});
+            const bool done = active.ends <= now_;
+            worker.ended.push_back({worker.next_end++, run->first, active.run,
+                                    done ? end_kind::done : end_kind::stopped,
+                                    !done && active.checkpoints
+                                        ? std::to_string(progress(active, now_))
+                                        : ""});
             worker.changed = true;
             run = worker.runs.erase(run);
         }
@@ -230,14 +240,10 @@
     ++stops_;
     replayed_worker& worker = workers_.at(next.worker.text());
     const auto found = worker.runs.find(next.task);
-    if (found != worker.runs.end())
+    if (found != worker.runs.end() && !found->second.stops_at)
     {
-        const replayed_run& run = found->second;
-        worker.ended.push_back(
-            {worker.next_end++, next.task, next.run, end_kind::stopped,
-             run.checkpoints ? std::to_string(progress(run, now_)) : ""});
-        worker.runs.erase(found);
-        worker.changed = true;
+        // Not all at the same time.
+        found->second.stops_at = now_ + stop_time + (stops_ % 4) * stop_spread;
     }
     fleet_.on_stop(next.worker, next.task, next.run, order_outcome::carried_out,
                    at(now_));
--- a/test/fleet/fleet_replay.hpp
+++ b/test/fleet/fleet_replay.hpp
@@ -91,6 +91,7 @@
         double saved = 0;
         milliseconds whole{0};
         bool checkpoints = false;
+        std::optional<milliseconds> stops_at;
     };
 
     struct replayed_worker
