Ask for tickets at the limit of a team that can be made free

Change: a step whose limit is free or can be made free asks for tickets.

Tests: urgent_step_that_needs_tickets_starts_at_limit_of_its_team, seen to fail before.

--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -29,7 +29,7 @@
     // order of their numbers.
     std::vector<worker_record*> allowed;
     // What it has reserved in this round: room on workers, and of the limit of
-    // its team. Whether that much of the limit is free or will be soon.
+    // its team. Whether the limit is free for it or can be made free.
     std::vector<std::pair<const worker_record*, base::resources>> reserved;
     base::resources claimed;
     bool limit_coming = false;
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -77,6 +77,8 @@
     }
     find_victims(*next.round, now);
     const limit_plan plan = plan_limit(next, now);
+    // So that it asks for tickets, without which it finds no room.
+    next.limit_coming = plan.tasks > 0;
     int placed = 0;
     while (placed < plan.tasks && make_room_for_one(next))
     {
@@ -236,7 +238,6 @@
 void fleet::claim_limit(candidate& next, const limit_plan& plan)
 {
     next.claimed = next.spec->need * plan.tasks;
-    next.limit_coming = true;
     claimed_limits_[next.job->submission.team] += next.claimed;
     for (const auto& [worker, victim] : plan.stops)
     {
--- a/test/fleet/preempt_replay_test.cpp
+++ b/test/fleet/preempt_replay_test.cpp
@@ -60,6 +60,7 @@
     CPPUNIT_TEST(urgent_gang_at_limit_of_its_team_stops_runs_once);
     CPPUNIT_TEST(urgent_gang_on_full_workers_stops_runs_once);
     CPPUNIT_TEST(urgent_gang_above_the_limit_stops_nothing);
+    CPPUNIT_TEST(urgent_step_that_needs_tickets_starts_at_limit_of_its_team);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -101,6 +102,30 @@
         CPPUNIT_ASSERT_EQUAL(40, replay.stops());
     }
 
+    // Guards against a step that does not ask for tickets since its team is at
+    // its limit, and has nothing stopped since it has no tickets.
+    void urgent_step_that_needs_tickets_starts_at_limit_of_its_team()
+    {
+        fleet_replay replay = two_classes();
+        queue_policy ticketed = queue("urgent", 0);
+        ticketed.tickets = ticket_policy();
+        ticketed.tickets->decide_time = milliseconds(100);
+        ticketed.tickets->valid_for = milliseconds(2000);
+        replay.add_queue(ticketed);
+        team_policy team;
+        team.team = base::team_id("t");
+        team.limit = {20000, 0, 0};
+        replay.add_team(team);
+        replay.submit(milliseconds(0), "batch", "batch",
+                      {step(40, 1000, milliseconds(10000))}, "t");
+        replay.submit(milliseconds(3000), "job", "urgent",
+                      {step(2, 5000, milliseconds(1000))}, "t");
+        replay.run(milliseconds(8000));
+        CPPUNIT_ASSERT(replay.jobs().at("job").finished.has_value());
+        CPPUNIT_ASSERT(*replay.jobs().at("job").finished <=
+                       milliseconds(3000 + 1000 + 1000));
+    }
+
     void urgent_gang_above_the_limit_stops_nothing()
     {
         fleet_replay replay = two_classes();
