--- a/test/fleet/fleet_replay.cpp
+++ b/test/fleet/fleet_replay.cpp
@@ -16,6 +16,9 @@
 constexpr milliseconds stop_time{200};
 constexpr milliseconds stop_spread{50};
 
+// The time from a change at a worker to its report.
+constexpr milliseconds report_delay{20};
+
 // Workers answer at least this often.
 constexpr milliseconds report_period{500};
 
@@ -73,6 +76,53 @@
     workers_.at(id).lost_at = time;
 }
 
+void fleet_replay::restart_worker(milliseconds time, const std::string& id)
+{
+    events_.emplace(time,
+                    [this, id]
+                    {
+                        replayed_worker& worker = workers_.at(id);
+                        worker.runs.clear();
+                        worker.ended.clear();
+                        worker.highest.clear();
+                        worker.next_end = 1;
+                        worker.told = 0;
+                        ++worker.life;
+                        worker.lease_end = milliseconds(0);
+                        note_change(worker);
+                    });
+}
+
+void fleet_replay::cancel(milliseconds time, const std::string& id)
+{
+    events_.emplace(time, [this, id]
+                    { fleet_.cancel_job(base::job_id(id), at(now_)); });
+}
+
+std::vector<fleet_replay::seen_run> fleet_replay::runs() const
+{
+    std::vector<seen_run> seen;
+    for (const auto& [id, worker] : workers_)
+    {
+        const bool lapsed = is_lost(worker) && worker.lease_end <= now_;
+        for (const auto& [key, run] : worker.runs)
+        {
+            seen.push_back({id, key, run.run, lapsed});
+        }
+    }
+    return seen;
+}
+
+void fleet_replay::note_change(replayed_worker& worker)
+{
+    worker.changed_at = worker.changed_at.value_or(now_);
+}
+
+bool fleet_replay::is_lost(const replayed_worker& worker) const
+{
+    return worker.lost_at && *worker.lost_at <= now_;
+}
+
 void fleet_replay::slow_worker(const std::string& id, double factor)
 {
     workers_.at(id).factor = factor;
@@ -99,6 +149,12 @@
     for (; now_ < until; now_ += tick)
     {
         end_runs();
+        while (!events_.empty() && events_.begin()->first <= now_)
+        {
+            const auto action = events_.begin()->second;
+            events_.erase(events_.begin());
+            action();
+        }
         report();
         take_arrivals();
         while (!tickets_.empty() && tickets_.begin()->first <= now_)
@@ -137,34 +193,51 @@
                 continue;
             }
             const bool done = active.ends <= now_;
-            worker.ended.push_back({worker.next_end++, run->first, active.run,
-                                    done ? end_kind::done : end_kind::stopped,
-                                    !done && active.checkpoints
-                                        ? std::to_string(progress(active, now_))
-                                        : ""});
-            worker.changed = true;
+            run_end end;
+            end.task = run->first;
+            end.run = active.run;
+            end.kind = active.fails ? end_kind::failed : end_kind::done;
+            if (!done)
+            {
+                end.kind = end_kind::stopped;
+                end.checkpoint = active.checkpoints
+                                     ? std::to_string(progress(active, now_))
+                                     : "";
+            }
             run = worker.runs.erase(run);
+            end_run(worker, end);
         }
     }
 }
 
+void fleet_replay::end_run(replayed_worker& worker, const run_end& end)
+{
+    std::uint64_t& highest = worker.highest[end.task];
+    highest = std::max(highest, end.run);
+    worker.ended.push_back(end);
+    worker.ended.back().number = worker.next_end++;
+    note_change(worker);
+}
+
 void fleet_replay::report()
 {
     for (auto& [id, worker] : workers_)
     {
-        if (worker.lost_at && *worker.lost_at <= now_)
+        if (is_lost(worker))
         {
             fleet_.on_silence(worker.listing.worker);
             continue;
         }
-        if (!worker.changed && now_ - worker.reported < report_period)
+        const bool news =
+            worker.changed_at && now_ - *worker.changed_at >= report_delay;
+        if (!news && now_ - worker.reported < report_period)
         {
             continue;
         }
-        worker.changed = false;
+        worker.changed_at.reset();
         worker.reported = now_;
         worker_report made;
-        made.life = 1;
+        made.life = worker.life;
         made.clock = now_;
         made.sent_at = at(now_);
         for (const auto& [key, run] : worker.runs)
@@ -181,8 +254,20 @@
                                           { return end.number <= known; }),
                            worker.ended.end());
         made.ended = worker.ended;
+        for (const run_end& end : worker.ended)
+        {
+            if (on_end && end.number > worker.told)
+            {
+                on_end(worker.listing.worker, end);
+            }
+            worker.told = std::max(worker.told, end.number);
+        }
         fleet_.on_report(worker.listing.worker, made, at(now_));
-        fleet_.grant_lease(worker.listing.worker, at(now_));
+        if (const auto lease =
+                fleet_.grant_lease(worker.listing.worker, at(now_)))
+        {
+            worker.lease_end = std::max(worker.lease_end, *lease);
+        }
     }
 }
 
@@ -217,7 +302,26 @@
 void fleet_replay::carry_out(const start_order& next)
 {
     ++starts_;
+    if (on_start)
+    {
+        on_start(next);
+    }
     replayed_worker& worker = workers_.at(next.worker.text());
+    start_fate what = fate ? fate(next) : start_fate::carried_out;
+    what = is_lost(worker) ? start_fate::lost : what;
+    if (what == start_fate::lost)
+    {
+        fleet_.on_start(next.worker, next.task, next.run,
+                        order_outcome::unknown, at(now_));
+        return;
+    }
+    const auto highest = worker.highest.find(next.task);
+    if (highest != worker.highest.end() && highest->second >= next.run)
+    {
+        fleet_.on_start(next.worker, next.task, next.run,
+                        order_outcome::old_run, at(now_));
+        return;
+    }
     const jobs::step_spec& spec =
         fleet_.jobs()
             .at(next.task.step.job)
@@ -230,16 +334,28 @@
     added.ends = now_ + std::chrono::duration_cast<milliseconds>(
                             spec.estimate * worker.factor * (1 - added.saved));
     added.checkpoints = spec.checkpoints;
+    added.fails = fails && fails(next);
     worker.runs[next.task] = added;
+    note_change(worker);
     fleet_.on_start(next.worker, next.task, next.run,
-                    order_outcome::carried_out, at(now_));
+                    what == start_fate::unanswered ? order_outcome::unknown
+                                                   : order_outcome::carried_out,
+                    at(now_));
 }
 
 void fleet_replay::carry_out(const stop_order& next)
 {
     ++stops_;
     replayed_worker& worker = workers_.at(next.worker.text());
+    if (is_lost(worker))
+    {
+        fleet_.on_stop(next.worker, next.task, next.run, order_outcome::unknown,
+                       at(now_));
+        return;
+    }
     const auto found = worker.runs.find(next.task);
+    std::uint64_t& highest = worker.highest[next.task];
+    highest = std::max(highest, next.run);
     if (found != worker.runs.end() && !found->second.stops_at)
     {
         // Not all at the same time.
--- a/test/fleet/fleet_replay.hpp
+++ b/test/fleet/fleet_replay.hpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -59,9 +60,59 @@
     // Tasks on this worker take so many times as long.
     void slow_worker(const std::string& id, double factor);
 
+    // A worker starts again under its id; it runs and remembers nothing.
+    void restart_worker(milliseconds at, const std::string& id);
+
+    // What becomes of an order to start a run.
+    enum class start_fate
+    {
+        carried_out,
+        // Carried out, but the answer is lost.
+        unanswered,
+        // Neither carried out nor answered.
+        lost
+    };
+
+    // Decide of each run whether it fails at its end, and of each order to
+    // start one what becomes of it. Without them all goes well.
+    std::function<bool(const start_order&)> fails;
+    std::function<start_fate(const start_order&)> fate;
+
+    // Called for each order to start a run, before it is carried out, and for
+    // each end when the fleet is told of it: a worker that starts again before
+    // it tells forgets its ends.
+    std::function<void(const start_order&)> on_start;
+    std::function<void(const base::worker_id&, const run_end&)> on_end;
+
+    // Cancels a job at a time.
+    void cancel(milliseconds at, const std::string& id);
+
     // Plays until then.
     void run(milliseconds until);
 
+    // A run as the worker knows it.
+    struct seen_run
+    {
+        std::string worker;
+        jobs::task_key task;
+        std::uint64_t run = 0;
+        // Nobody could renew its lease any more, and its time is over.
+        bool lapsed = false;
+    };
+
+    // All runs on workers, those that are being stopped included.
+    std::vector<seen_run> runs() const;
+
+    const worker_listing& listing(const std::string& worker) const
+    {
+        return workers_.at(worker).listing;
+    }
+
+    milliseconds now() const
+    {
+        return now_;
+    }
+
     const std::map<std::string, outcome>& jobs() const
     {
         return outcomes_;
@@ -92,6 +143,7 @@
         milliseconds whole{0};
         bool checkpoints = false;
         std::optional<milliseconds> stops_at;
+        bool fails = false;
     };
 
     struct replayed_worker
@@ -102,8 +154,15 @@
         std::uint64_t next_end = 1;
         double factor = 1;
         std::optional<milliseconds> lost_at;
-        bool changed = true;
+        std::optional<milliseconds> changed_at = milliseconds(0);
+        // The last end that the fleet was told of.
+        std::uint64_t told = 0;
         milliseconds reported{0};
+        std::int64_t life = 1;
+        // The lease on its own clock, which is that of the replay.
+        milliseconds lease_end{0};
+        // The highest run of each task that was stopped or has ended here.
+        std::map<jobs::task_key, std::uint64_t> highest;
     };
 
     struct arrival
@@ -117,6 +176,9 @@
     void end_runs();
     void report();
     void take_arrivals();
+    void note_change(replayed_worker& worker);
+    bool is_lost(const replayed_worker& worker) const;
+    void end_run(replayed_worker& worker, const run_end& end);
     void carry_out(const start_order& next);
     void carry_out(const stop_order& next);
     void carry_out(const pace_order& next);
@@ -130,6 +192,7 @@
     std::multimap<milliseconds, arrival> arrivals_;
     std::map<std::string, replayed_worker> workers_;
     std::multimap<milliseconds, ticket_order> tickets_;
+    std::multimap<milliseconds, std::function<void()>> events_;
     std::map<std::string, outcome> outcomes_;
     int starts_ = 0;
     int stops_ = 0;
