Remove final jobs after their time, and cut peers in the soak

Final jobs and their rows stayed for ever: cell_options::forget_after and the setting state_kept_s had no effect. The leader now removes the rows of jobs that have been final for that long, under the fence, some at a time, and forgets them.

fleet_options::far_factor and its setting had no effect either and are gone; the wrong rack is the last choice whatever it costs.

The setting advertised_peer names where other daemons connect, for daemons behind a relay. The soak uses it: links between daemons are silenced, cut one way, delayed and reset, and so is the way to the store.

Tests: leader_final_job_is_removed_after_its_time, leader_open_job_is_not_removed.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -21,9 +21,12 @@
     base::zone_id zone;
     // Differs for each start of the process.
     std::uint64_t incarnation = 0;
-    // Where other daemons connect: a numeric address and a free port.
+    // Where it listens for other daemons: a numeric address and a free port.
     std::string address;
     std::uint16_t peer_port = 0;
+    // Where it tells others to connect.
+    std::string advertised_address;
+    std::uint16_t advertised_port = 0;
 
     // The processor of the VM, in thousandths of a core; 0 if not known. The
     // leader needs most of all.
@@ -80,8 +83,13 @@
     // The leader answers a question about a job within this time, or the store
     // is asked.
     milliseconds query_limit{400};
-    // Final jobs are forgotten after this; the platform asks for 120 s.
+    // Final jobs, and their rows, are removed after this; the platform asks for
+    // 120 s.
     milliseconds forget_after{150000};
+    // Final jobs are looked through this often, and so many are removed at
+    // most, so that the removal never holds up anything.
+    milliseconds forget_period{1000};
+    std::size_t forget_batch = 100;
     // A request for tickets is given up this long after its expected time.
     milliseconds ticket_slack{900};
     // Requests for tickets that take longer leave one caller free for short
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace coltsfootrack::cell
@@ -113,6 +114,8 @@
     void carry_out(const fleet::pace_order& next);
     void carry_out(const fleet::ticket_order& next);
     void carry_out(const fleet::save_order& next);
+    void forget_final_jobs();
+    void remove_rows(std::size_t part, std::vector<base::job_id> ids);
     void renew_all();
     void renew(const base::worker_id& id, renewal& state);
     void look_at(const base::worker_id& id);
@@ -147,9 +150,29 @@
     bool step_requested_ = false;
     base::time_point last_step_;
     base::duration last_step_time_{0};
+    // Parts with a removal of rows in flight.
+    std::vector<bool> removing_;
     std::shared_ptr<bool> alive_;
 };
 
+template <class Result>
+std::function<void(Result)>
+leadership::posted(std::function<void(Result)> action) const
+{
+    return [&loop = loop_, alive = std::weak_ptr<bool>(alive_),
+            action = std::move(action)](Result result)
+    {
+        loop.post(
+            [alive, action, result = std::move(result)]
+            {
+                if (!alive.expired())
+                {
+                    action(result);
+                }
+            });
+    };
+}
+
 } // namespace coltsfootrack::cell
 
 #endif
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -93,6 +93,18 @@
     // The version of a row as read, for the next update of it.
     void set_version(const row_id& row, std::uint64_t version);
 
+    // The condition that updates are written under; nothing without one.
+    const std::optional<row_condition>& fence() const
+    {
+        return fence_;
+    }
+
+    // The row was removed by another transaction.
+    void forget(const row_id& row)
+    {
+        versions_.erase(row);
+    }
+
     // The next transaction, if one is due and none is in flight.
     std::optional<transaction> next(base::time_point now);
 
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -16,6 +16,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -110,6 +111,14 @@
     // A store failure: the progress is ordered again by the next step.
     void on_save_failed(const base::job_id& job);
 
+    // At most `limit` jobs whose final state was stored before this time, or
+    // was known at the takeover; the oldest first.
+    std::vector<base::job_id> final_before(base::time_point time,
+                                           std::size_t limit) const;
+
+    // Forgets a final job: its rows are removed.
+    void forget_job(const base::job_id& id);
+
     // Decides. Requests for tickets are ordered as far as the slots allow.
     std::vector<order> step(base::time_point now, wall_time wall,
                             ticket_slots slots);
@@ -266,6 +275,8 @@
     // The part of it that is being stopped.
     std::map<base::team_id, base::resources> stopping_;
     std::map<base::job_id, bool> dirty_;
+    // Final jobs whose state is stored, in the order of finished_at.
+    std::deque<base::job_id> finished_;
     base::time_point stalls_checked_at_;
     std::map<base::team_id, share_meter> shares_;
     // Of the present round: the workers of each service that take tasks, and
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -30,10 +30,6 @@
     std::chrono::seconds share_window{5};
     int share_slack = 20;
 
-    // How much longer a task takes on a rack without its data; the platform's
-    // figure.
-    double far_factor = 2;
-
     // A ticket is not used in the last part of its life, for the way to the
     // worker.
     milliseconds ticket_margin{150};
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -26,8 +26,8 @@
     wire::peer_address self;
     self.daemon = options_.daemon;
     self.zone = options_.zone;
-    self.address = options_.address;
-    self.port = options_.peer_port;
+    self.address = options_.advertised_address;
+    self.port = options_.advertised_port;
     transaction write;
     write.writes.push_back(
         {table_.daemon(options_.daemon), encode_member(self)});
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -46,6 +46,7 @@
     , hooks_(std::move(callbacks))
     , fleet_(options_.fleet, clock.now())
     , last_step_(clock.now())
+    , removing_(table.parts(), false)
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -63,24 +64,6 @@
     };
 }
 
-template <class Result>
-std::function<void(Result)>
-leadership::posted(std::function<void(Result)> action) const
-{
-    return [&loop = loop_, alive = std::weak_ptr<bool>(alive_),
-            action = std::move(action)](Result result)
-    {
-        loop.post(
-            [alive, action, result = std::move(result)]
-            {
-                if (!alive.expired())
-                {
-                    action(result);
-                }
-            });
-    };
-}
-
 void leadership::lose(const std::string& reason)
 {
     if (lost_)
--- /dev/null
+++ b/src/cell/leadership_removal.cpp
@@ -0,0 +1,83 @@
+// The removal of jobs that have been final for long enough, with their rows.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/leadership.hpp>
+
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+// Three rows a job and the fence: the platform allows 100 entries.
+constexpr std::size_t jobs_per_removal = 30;
+
+} // namespace
+
+void leadership::forget_final_jobs()
+{
+    if (!loaded_ || lost_)
+    {
+        return;
+    }
+    std::vector<std::vector<base::job_id>> by_part(table_.parts());
+    for (const base::job_id& id : fleet_.final_before(
+             clock_.now() - options_.forget_after, options_.forget_batch))
+    {
+        auto& ids = by_part[table_.part_of(id)];
+        if (ids.size() < jobs_per_removal)
+        {
+            ids.push_back(id);
+        }
+    }
+    for (std::size_t part = 0; part < by_part.size(); ++part)
+    {
+        if (!by_part[part].empty() && !removing_[part])
+        {
+            remove_rows(part, std::move(by_part[part]));
+        }
+    }
+}
+
+void leadership::remove_rows(std::size_t part, std::vector<base::job_id> ids)
+{
+    const auto& fence = hooks_.committer(part).fence();
+    if (!fence)
+    {
+        return;
+    }
+    transaction removal;
+    removal.conditions.push_back(*fence);
+    for (const base::job_id& id : ids)
+    {
+        // The submission goes with the rest: a cancellation or a progress
+        // without it would say nothing.
+        removal.writes.push_back({table_.progress(id), std::nullopt});
+        removal.writes.push_back({table_.cancel(id), std::nullopt});
+        removal.writes.push_back({table_.job(id), std::nullopt});
+    }
+    removing_[part] = true;
+    outside_.store.transact(
+        removal, posted<transaction_result>(
+                     [this, part, ids](const transaction_result& result)
+                     {
+                         removing_[part] = false;
+                         if (result.status != transaction_status::committed)
+                         {
+                             // Tried again with the next period.
+                             metrics_.count_event("removal_failed");
+                             return;
+                         }
+                         base::log(base::log_level::info, "leader",
+                                   "Final jobs removed. jobs={} part={}",
+                                   ids.size(), part);
+                         for (const base::job_id& id : ids)
+                         {
+                             hooks_.committer(part).forget(table_.progress(id));
+                             fleet_.forget_job(id);
+                         }
+                     }));
+}
+
+} // namespace coltsfootrack::cell
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -212,6 +212,8 @@
         }
         follow_workers();
         loop_.every(options_.step_period, guarded([this] { request_step(); }));
+        loop_.every(options_.forget_period,
+                    guarded([this] { forget_final_jobs(); }));
     };
     jobs_ = std::make_unique<table_follower>(
         loop_, outside_.store, job_table::jobs_table, table_.names(),
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -127,6 +127,7 @@
     if (job.final_state())
     {
         job.begun = true;
+        finished_.push_back(id);
         return;
     }
     open_jobs_[id] = &job;
@@ -334,7 +335,11 @@
         job->saved_state = job->state;
         if (job->final_state())
         {
-            job->finished_at = now;
+            if (!job->occurrences.empty())
+            {
+                job->finished_at = now;
+                finished_.push_back(id);
+            }
             // What is left is only asked for its state.
             job->occurrences.clear();
             job->occurrences.shrink_to_fit();
@@ -347,6 +352,40 @@
     }
 }
 
+std::vector<base::job_id> fleet::final_before(base::time_point time,
+                                              std::size_t limit) const
+{
+    std::vector<base::job_id> found;
+    for (const base::job_id& id : finished_)
+    {
+        const auto job = jobs_.find(id);
+        if (found.size() >= limit ||
+            (job != jobs_.end() && job->second.finished_at >= time))
+        {
+            break;
+        }
+        if (job != jobs_.end())
+        {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+void fleet::forget_job(const base::job_id& id)
+{
+    const job_record* job = find_job(id);
+    if (job == nullptr || !job->final_state())
+    {
+        return;
+    }
+    jobs_.erase(id);
+    while (!finished_.empty() && jobs_.count(finished_.front()) == 0)
+    {
+        finished_.pop_front();
+    }
+}
+
 void fleet::on_save_failed(const base::job_id& id)
 {
     job_record* job = find_job(id);
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(leader_job_of_no_leader_waits_for_silent_worker);
     CPPUNIT_TEST(leader_all_workers_answer_starts_every_job);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
+    CPPUNIT_TEST(leader_final_job_is_removed_after_its_time);
+    CPPUNIT_TEST(leader_open_job_is_not_removed);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -99,6 +101,37 @@
         CPPUNIT_ASSERT(world.lost(soon));
         CPPUNIT_ASSERT(!world.started("later", milliseconds(100)));
     }
+
+    void leader_final_job_is_removed_after_its_time()
+    {
+        leadership_world world(epoch, forgetful());
+        world.add_worker("w1", true);
+        world.put_job("final", epoch - 1);
+        world.put_completed("final");
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        CPPUNIT_ASSERT(!world.removed("final", milliseconds(100)));
+        CPPUNIT_ASSERT(world.removed("final", soon));
+    }
+
+    void leader_open_job_is_not_removed()
+    {
+        leadership_world world(epoch, forgetful());
+        world.add_worker("w1", true);
+        world.put_job("open", epoch - 1);
+        world.begin();
+        CPPUNIT_ASSERT(world.started("open", soon));
+        CPPUNIT_ASSERT(!world.removed("open", milliseconds(600)));
+    }
+
+private:
+    static cell_options forgetful()
+    {
+        cell_options options;
+        options.forget_after = milliseconds(300);
+        options.forget_period = milliseconds(20);
+        return options;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leadership_test);
--- a/test/cell/leadership_world.cpp
+++ b/test/cell/leadership_world.cpp
@@ -14,13 +14,14 @@
 
 } // namespace
 
-leadership_world::leadership_world(std::uint64_t epoch)
+leadership_world::leadership_world(std::uint64_t epoch,
+                                   const cell_options& given)
     : table_(parts)
     , loop_(clock_, 4096)
     , outside_(make_ports())
     , committers_(parts)
 {
-    cell_options options;
+    cell_options options = given;
     options.job_parts = parts;
     options.follow_pause = milliseconds(5);
     leadership::hooks callbacks;
@@ -177,6 +178,19 @@
     }
 }
 
+template <class Holds>
+bool leadership_world::wait_for(Holds holds, milliseconds limit)
+{
+    const auto end = std::chrono::steady_clock::now() + limit;
+    bool held = false;
+    do
+    {
+        run([&] { held = holds(); });
+        std::this_thread::sleep_for(milliseconds(2));
+    } while (!held && std::chrono::steady_clock::now() < end);
+    return held;
+}
+
 void leadership_world::add_worker(const std::string& id, bool answers)
 {
     store_.put({worker_table, "", id}, "");
@@ -205,6 +219,26 @@
     store_.put(table_.job(base::job_id(id)), job_row(leader_epoch));
 }
 
+void leadership_world::put_completed(const std::string& id)
+{
+    jobs::job_progress progress;
+    progress.state = jobs::job_state::completed;
+    store_.put(table_.progress(base::job_id(id)), jobs::encode(progress));
+}
+
+bool leadership_world::removed(const std::string& job, milliseconds limit)
+{
+    const base::job_id id(job);
+    return wait_for(
+        [&]
+        {
+            return !store_.read(table_.job(id)).exists() &&
+                   !store_.read(table_.progress(id)).exists() &&
+                   !store_.read(table_.cancel(id)).exists();
+        },
+        limit);
+}
+
 void leadership_world::send_job(const std::string& id,
                                 std::uint64_t leader_epoch)
 {
@@ -216,19 +250,6 @@
     run([this] { leadership_->begin(); });
 }
 
-template <class Holds>
-bool leadership_world::wait_for(Holds holds, milliseconds limit)
-{
-    const auto end = std::chrono::steady_clock::now() + limit;
-    bool held = false;
-    do
-    {
-        run([&] { held = holds(); });
-        std::this_thread::sleep_for(milliseconds(2));
-    } while (!held && std::chrono::steady_clock::now() < end);
-    return held;
-}
-
 bool leadership_world::started(const std::string& job, milliseconds limit)
 {
     return wait_for(
--- a/test/cell/leadership_world.hpp
+++ b/test/cell/leadership_world.hpp
@@ -24,7 +24,8 @@
 public:
     static constexpr std::size_t parts = 2;
 
-    explicit leadership_world(std::uint64_t epoch);
+    explicit leadership_world(std::uint64_t epoch,
+                              const cell_options& options = {});
     ~leadership_world();
 
     leadership_world(const leadership_world&) = delete;
@@ -34,6 +35,13 @@
     void add_worker(const std::string& id, bool answers);
     void put_job(const std::string& id, std::uint64_t leader_epoch);
 
+    // The stored progress of a job that is completed.
+    void put_completed(const std::string& id);
+
+    // Waits until the store has none of the rows of a job, at most for the
+    // span.
+    bool removed(const std::string& job, std::chrono::milliseconds limit);
+
     void begin();
 
     // Runs a function on the control thread and waits for it.
--- a/test/platform/names_and_settings_test.cpp
+++ b/test/platform/names_and_settings_test.cpp
@@ -20,7 +20,7 @@
         "listen":{"callers":"10.1.0.5:8686","health":"10.1.0.5:8689"},
         "store":"10.200.1.7:8683","tickets":"10.200.1.9:8683",
         "limits":{"processor_share":0.25,"processors":2},
-        "bounds":{"stop_grace_s":6,"far_factor":1.5,"share_window_s":5,
+        "bounds":{"stop_grace_s":6,"share_window_s":5,
         "share_slack":20,"longest_lease_ms":10000,"state_kept_s":120}})");
 }
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -140,7 +140,7 @@
         {
             restart_daemon(daemon);
         };
-        switch (between(0, 13))
+        switch (between(0, 18))
         {
         case 0:
             note("kill", daemon);
@@ -208,6 +208,37 @@
             note("worker restarts", worker);
             cluster_.worker_faults(worker, {{"restart", true}});
             return;
+        case 12:
+            note("peers silent for", daemon);
+            cluster_.peers(daemon).cut();
+            later(length, [this, daemon] { cluster_.peers(daemon).heal(); });
+            return;
+        case 13:
+        {
+            const bool to_target = between(0, 2) == 0;
+            note(to_target ? "peers unheard by" : "peers do not hear", daemon);
+            cluster_.peers(daemon).cut_one_way(to_target);
+            later(length, [this, daemon] { cluster_.peers(daemon).heal(); });
+            return;
+        }
+        case 14:
+            note("peers delayed for", daemon);
+            cluster_.peers(daemon).delay(milliseconds(between(20, 300)));
+            later(length, [this, daemon] { cluster_.peers(daemon).heal(); });
+            return;
+        case 15:
+            note("connections reset for", daemon);
+            cluster_.peers(daemon).reset();
+            cluster_.store(daemon).reset();
+            return;
+        case 16:
+        {
+            const bool to_target = between(0, 2) == 0;
+            note(to_target ? "store unreached by" : "store unheard by", daemon);
+            cluster_.store(daemon).cut_one_way(to_target);
+            later(length, [this, daemon] { cluster_.store(daemon).heal(); });
+            return;
+        }
         default:
             note("history gone", -1);
             cluster_.compact_store();
@@ -267,6 +298,7 @@
         for (int i = 0; i < cluster_.daemons(); ++i)
         {
             cluster_.cut_store(i, false);
+            cluster_.peers(i).heal();
             cluster_.store_faults(i, nlohmann::json::object());
             resume(i);
             if (!cluster_.ready(i))
--- a/test/standins/cluster/cell_cluster.cpp
+++ b/test/standins/cluster/cell_cluster.cpp
@@ -140,6 +140,8 @@
 void cell_cluster::write_settings(hosted& daemon, int number)
 {
     const std::uint16_t peer = free_port();
+    daemon.peers = std::make_unique<local_cluster::tcp_relay>(
+        fmt::format("{}:{}", loopback, peer));
     daemon.callers = fmt::format("{}:{}", loopback, free_port());
     daemon.health = fmt::format("{}:{}", loopback, free_port());
     daemon.settings_path =
@@ -150,6 +152,7 @@
         {"region", "r"},
         {"address", loopback},
         {"peer_ports", {peer, peer}},
+        {"advertised_peer", daemon.peers->address()},
         {"listen", {{"callers", daemon.callers}, {"health", daemon.health}}},
         {"store", daemon.store->address()},
         {"tickets",
@@ -157,7 +160,6 @@
         {"limits", {{"processor_share", 1.0}, {"processors", 1}}},
         {"bounds",
          {{"stop_grace_s", 6},
-          {"far_factor", 2},
           {"share_window_s", 5},
           {"share_slack", 20},
           {"longest_lease_ms", 10000},
@@ -206,6 +208,11 @@
     }
 }
 
+local_cluster::tcp_relay& cell_cluster::peers(int number)
+{
+    return *daemons_.at(static_cast<std::size_t>(number)).peers;
+}
+
 void cell_cluster::store_faults(int number, json faults)
 {
     faults["action"] = "store";
--- a/test/standins/cluster/cell_cluster.hpp
+++ b/test/standins/cluster/cell_cluster.hpp
@@ -32,7 +32,8 @@
 };
 
 // The stand-in of the users' platform and the daemons of one cell, as processes
-// on loopback. Each daemon reaches the store over a relay of its own.
+// on loopback. Each daemon reaches the store over a relay of its own, and is
+// reached by its peers over another.
 //
 // Thread safety: none.
 class cell_cluster
@@ -53,6 +54,15 @@
     // Cuts or heals the way of a daemon to the store.
     void cut_store(int number, bool cut);
 
+    // The relay that other daemons connect to this one over.
+    local_cluster::tcp_relay& peers(int number);
+
+    // The relay between a daemon and the store.
+    local_cluster::tcp_relay& store(int number)
+    {
+        return *daemons_.at(static_cast<std::size_t>(number)).store;
+    }
+
     // Faults of the store towards one daemon, as the stand-in takes them.
     void store_faults(int number, nlohmann::json faults);
 
@@ -96,6 +106,7 @@
         std::string health;
         int starts = 0;
         std::unique_ptr<local_cluster::tcp_relay> store;
+        std::unique_ptr<local_cluster::tcp_relay> peers;
         std::unique_ptr<local_cluster::child_process> process;
     };
 
--- a/test/system/tcp_relay.cpp
+++ b/test/system/tcp_relay.cpp
@@ -10,6 +10,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <set>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -103,10 +104,28 @@
 
 void tcp_relay::run()
 {
-    // Both directions of each connection.
+    // Both directions of each connection, and the ends that were accepted.
     std::map<int, int> ends;
+    std::set<int> accepted_ends;
+    const auto held = [&](int from)
+    {
+        const bool to_target = accepted_ends.count(from) != 0;
+        return held_ ==
+               (to_target ? direction::to_target : direction::from_target);
+    };
     while (!stopping_)
     {
+        if (reset_.exchange(false))
+        {
+            for (const auto& [from, target] : ends)
+            {
+                const linger now{1, 0};
+                ::setsockopt(from, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+                ::close(from);
+            }
+            ends.clear();
+            accepted_ends.clear();
+        }
         if (cut_)
         {
             std::this_thread::sleep_for(pause);
@@ -115,12 +134,16 @@
         std::vector<pollfd> waiting = {{listener_, POLLIN, 0}};
         for (const auto& [from, target] : ends)
         {
-            waiting.push_back({from, POLLIN, 0});
+            if (!held(from))
+            {
+                waiting.push_back({from, POLLIN, 0});
+            }
         }
         if (::poll(waiting.data(), waiting.size(), poll_ms) <= 0 || cut_)
         {
             continue;
         }
+        std::this_thread::sleep_for(std::chrono::milliseconds(delay_ms_));
         for (std::size_t i = 1; i < waiting.size(); ++i)
         {
             const int from = waiting[i].fd;
@@ -133,6 +156,8 @@
             const int other = found->second;
             ends.erase(from);
             ends.erase(other);
+            accepted_ends.erase(from);
+            accepted_ends.erase(other);
             ::close(from);
             ::close(other);
         }
@@ -145,6 +170,7 @@
             {
                 ends[accepted] = target;
                 ends[target] = accepted;
+                accepted_ends.insert(accepted);
                 continue;
             }
             ::close(accepted);
--- a/test/system/tcp_relay.hpp
+++ b/test/system/tcp_relay.hpp
@@ -2,6 +2,7 @@
 #define COLTSFOOTRACK_TEST_SYSTEM_TCP_RELAY_HPP_INCLUDED
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <thread>
@@ -13,7 +14,7 @@
 // cut, connections stay open and nothing passes, as with lost packets; after
 // heal, what was held back arrives late.
 //
-// Thread safety: cut and heal may be called from any thread.
+// Thread safety: the functions for faults may be called from any thread.
 class tcp_relay
 {
 public:
@@ -33,12 +34,41 @@
         cut_ = true;
     }
 
+    // Holds back one direction only: what goes to the target, or what comes
+    // from it.
+    void cut_one_way(bool to_target)
+    {
+        held_ = to_target ? direction::to_target : direction::from_target;
+    }
+
+    // Everything passes this much later.
+    void delay(std::chrono::milliseconds span)
+    {
+        delay_ms_ = static_cast<int>(span.count());
+    }
+
+    // Resets all open connections.
+    void reset()
+    {
+        reset_ = true;
+    }
+
+    // Ends cuts and delays.
     void heal()
     {
         cut_ = false;
+        held_ = direction::none;
+        delay_ms_ = 0;
     }
 
 private:
+    enum class direction
+    {
+        none,
+        to_target,
+        from_target
+    };
+
     void run();
     int connect_target() const;
 
@@ -46,6 +76,9 @@
     int listener_ = -1;
     std::uint16_t port_ = 0;
     std::atomic<bool> cut_{false};
+    std::atomic<direction> held_{direction::none};
+    std::atomic<int> delay_ms_{0};
+    std::atomic<bool> reset_{false};
     std::atomic<bool> stopping_{false};
     std::thread thread_;
 };
