Take ports of test cells from below the range of outgoing connections

The cell cluster had its own copy of the search for free ports; it uses that of the other clusters now, which starts at a place of its own in each process.

Tests: settings_advertised_peer_is_optional_and_checked.

--- a/test/platform/names_and_settings_test.cpp
+++ b/test/platform/names_and_settings_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(task_name_of_other_form_is_an_error);
     CPPUNIT_TEST(settings_whole_give_every_field);
     CPPUNIT_TEST(settings_with_comments_are_read);
+    CPPUNIT_TEST(settings_advertised_peer_is_optional_and_checked);
     CPPUNIT_TEST(settings_without_a_field_are_refused);
     CPPUNIT_TEST(settings_file_that_is_missing_is_refused);
     CPPUNIT_TEST_SUITE_END();
@@ -69,6 +70,19 @@
         CPPUNIT_ASSERT_EQUAL(20, value->share_slack);
     }
 
+    void settings_advertised_peer_is_optional_and_checked()
+    {
+        nlohmann::json given = whole_settings();
+        CPPUNIT_ASSERT(!parse_settings(given.dump())->advertised_peer);
+        given["advertised_peer"] = "192.0.2.7:7300";
+        const auto value = parse_settings(given.dump());
+        CPPUNIT_ASSERT_EQUAL(std::string("192.0.2.7"),
+                             value->advertised_peer->host);
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{7300}, value->advertised_peer->port);
+        given["advertised_peer"] = "host-without-port";
+        CPPUNIT_ASSERT(!parse_settings(given.dump()).ok());
+    }
+
     void settings_with_comments_are_read()
     {
         CPPUNIT_ASSERT(
--- a/test/standins/cluster/cell_cluster.cpp
+++ b/test/standins/cluster/cell_cluster.cpp
@@ -2,15 +2,14 @@
 
 #include "cell_cluster.hpp"
 
+#include "cluster.hpp"
+
 #include <cstdlib>
 #include <filesystem>
 #include <fmt/core.h>
 #include <fstream>
-#include <netinet/in.h>
 #include <stdexcept>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 namespace coltsfootrack::soak
 {
@@ -34,24 +33,6 @@
     return options;
 }
 
-// A port that is free now.
-std::uint16_t free_port()
-{
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    if (::bind(descriptor, reinterpret_cast<sockaddr*>(&address),
-               sizeof address) != 0)
-    {
-        throw std::runtime_error("no port is free");
-    }
-    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
-    ::close(descriptor);
-    return ntohs(address.sin_port);
-}
-
 http::request request_for(const std::string& method, const std::string& id)
 {
     http::request request;
@@ -139,11 +120,13 @@
 
 void cell_cluster::write_settings(hosted& daemon, int number)
 {
-    const std::uint16_t peer = free_port();
+    const std::uint16_t peer = local_cluster::free_ports(1);
     daemon.peers = std::make_unique<local_cluster::tcp_relay>(
         fmt::format("{}:{}", loopback, peer));
-    daemon.callers = fmt::format("{}:{}", loopback, free_port());
-    daemon.health = fmt::format("{}:{}", loopback, free_port());
+    daemon.callers =
+        fmt::format("{}:{}", loopback, local_cluster::free_ports(1));
+    daemon.health =
+        fmt::format("{}:{}", loopback, local_cluster::free_ports(1));
     daemon.settings_path =
         fmt::format("{}/daemon-{}.json", options_.log_folder, number);
     const json settings = {
