--- a/bench/cluster/measure_cell.cpp
+++ b/bench/cluster/measure_cell.cpp
@@ -63,6 +63,7 @@
     void submit_all()
     {
         std::vector<double> before;
+        before.reserve(static_cast<std::size_t>(cluster_.daemons()));
         for (int i = 0; i < cluster_.daemons(); ++i)
         {
             before.push_back(
