--- a/test/standins/cluster/cell_cluster.hpp
+++ b/test/standins/cluster/cell_cluster.hpp
@@ -69,7 +69,7 @@
     // Faults of a worker, as the stand-in takes them.
     void worker_faults(int number, nlohmann::json faults);
 
-    // Writes the desired state again under the next version, which it returns.
+    // Writes the configuration again under the next version, which it returns.
     int change_config();
 
     // The store drops its history of changes.
