Write log lines in pieces that a pipe takes whole

Lines of the leader were missing from its log, and hundreds were cut off in the middle and run into the next one, without a word that anything was dropped, so the incident could not be traced.

Cause: the queue wrote up to 256 KB in one call. A descriptor that is full also ended the batch, without a count.

Lines are now written in pieces of whole lines of at most PIPE_BUF bytes. A full non-blocking pipe is waited for, and lines that the descriptor refuses are counted and reported with the next line.

The tests of a non-blocking pipe and of the count of lost lines are new.

--- a/include/coltsfootrack/base/log_queue.hpp
+++ b/include/coltsfootrack/base/log_queue.hpp
@@ -22,8 +22,11 @@
 //     set_log_writer([&](log_level level, auto part, auto message)
 //                    { lines.add(level, part, message); });
 //
-// Limits: at most max_bytes wait. Lines beyond that are dropped; the next line
-// that fits says how many.
+// The descriptor may be non-blocking: a full pipe is waited for.
+//
+// Limits: at most max_bytes wait, besides what is being written. Lines beyond
+// that, and lines that the descriptor refuses, are dropped; the next line that
+// fits says how many.
 //
 // Thread safety: add and dropped may be called from any thread.
 class log_queue
@@ -49,6 +52,8 @@
 
 private:
     void run();
+    void write_lines(const std::string& text);
+    bool stopping() const;
 
     int descriptor_;
     mutable std::mutex mutex_;
--- a/test/base/log_queue_test.cpp
+++ b/test/base/log_queue_test.cpp
@@ -4,9 +4,14 @@
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/base/log_queue.hpp>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
+#include <csignal>
+#include <fcntl.h>
 #include <string>
+#include <thread>
 #include <unistd.h>
 
 namespace coltsfootrack::base
@@ -18,6 +23,8 @@
     CPPUNIT_TEST(message_with_details_becomes_fields);
     CPPUNIT_TEST(message_without_details_keeps_event);
     CPPUNIT_TEST(lines_added_are_written_before_end);
+    CPPUNIT_TEST(full_non_blocking_pipe_loses_no_line);
+    CPPUNIT_TEST(closed_pipe_counts_lost_lines);
     CPPUNIT_TEST(reader_that_stands_still_costs_lines_not_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +64,54 @@
         close(ends[1]);
     }
 
+    // Guards against a writer that takes a full pipe for a failed one and cuts
+    // off the rest of what it was to write.
+    void full_non_blocking_pipe_loses_no_line()
+    {
+        constexpr int count = 1000;
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, pipe2(ends.data(), O_NONBLOCK));
+        fcntl(ends[1], F_SETPIPE_SZ, 4096);
+        std::string seen;
+        {
+            log_queue lines(ends[1]);
+            for (int i = 0; i < count; ++i)
+            {
+                lines.add(log_level::info, "a",
+                          "Filled. n=" + std::to_string(i));
+            }
+            seen = read_lines(ends[0], count);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, lines.dropped());
+        }
+        for (int i = 0; i < count; ++i)
+        {
+            CPPUNIT_ASSERT(seen.find(" n=" + std::to_string(i) + '\n') !=
+                           std::string::npos);
+        }
+        close(ends[0]);
+        close(ends[1]);
+    }
+
+    // Guards against lines that are lost without a trace.
+    void closed_pipe_counts_lost_lines()
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        std::array<int, 2> ends{};
+        CPPUNIT_ASSERT_EQUAL(0, pipe(ends.data()));
+        close(ends[0]);
+        log_queue lines(ends[1]);
+        lines.add(log_level::info, "a", "First. n=1");
+        const auto deadline =
+            std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (lines.dropped() == 0 &&
+               std::chrono::steady_clock::now() < deadline)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, lines.dropped());
+        close(ends[1]);
+    }
+
     // Guards against a log that holds up decisions when nobody reads it.
     void reader_that_stands_still_costs_lines_not_time()
     {
@@ -73,6 +128,28 @@
         close(ends[0]);
         close(ends[1]);
     }
+
+private:
+    // Reads until so many lines have come, for 10 s at most.
+    static std::string read_lines(int descriptor, int count)
+    {
+        std::string seen;
+        std::array<char, 4096> text{};
+        const auto deadline =
+            std::chrono::steady_clock::now() + std::chrono::seconds(10);
+        while (std::count(seen.begin(), seen.end(), '\n') < count &&
+               std::chrono::steady_clock::now() < deadline)
+        {
+            const ssize_t size = read(descriptor, text.data(), text.size());
+            if (size > 0)
+            {
+                seen.append(text.data(), static_cast<std::size_t>(size));
+                continue;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        return seen;
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(log_queue_test);
