Say when leases of lost workers ended, and how they return

Which of the hypotheses holds could not be told from the logs: a worker that is given up, or answers again, now comes with its clock, the end of the last lease that was granted, and the number of runs and ends that it lists.

--- a/include/coltsfootrack/fleet/worker_lease.hpp
+++ b/include/coltsfootrack/fleet/worker_lease.hpp
@@ -41,6 +41,12 @@
     // granting.
     bool over(base::time_point now, base::time_point since) const;
 
+    // The latest end that was granted, on the worker's clock.
+    std::optional<milliseconds> granted() const
+    {
+        return granted_;
+    }
+
 private:
     milliseconds length_;
     milliseconds longest_;
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -46,7 +46,11 @@
     if (worker.silent)
     {
         base::log(base::log_level::info, log_part,
-                  "Worker answers again. worker={}", id.text());
+                  "Worker answers again. worker={} runs={} listed={} ended={} "
+                  "clock_ms={} lease_end_ms={}",
+                  id.text(), worker.runs.size(), report.running.size(),
+                  report.ended.size(), report.clock.count(),
+                  worker.lease.granted().value_or(report.clock).count());
     }
     if (!worker.synced)
     {
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -71,9 +71,13 @@
                                 worker.lease.over(now, since_));
         if (dead && !worker.runs.empty())
         {
-            base::log(base::log_level::warning, log_part,
-                      "Lease of a lost worker passed. worker={} runs={}",
-                      it->first.text(), worker.runs.size());
+            base::log(
+                base::log_level::warning, log_part,
+                "Lease of a lost worker passed. worker={} runs={} "
+                "clock_ms={} lease_end_ms={}",
+                it->first.text(), worker.runs.size(),
+                worker.report_clock.count(),
+                worker.lease.granted().value_or(worker.report_clock).count());
             lose_all(worker);
         }
         if (dead && !worker.listed)
