Count a worker as lost only if it does not answer after its lease

Cause: a worker counted as lost as soon as its last lease had passed and its last renewal had not been answered in time. Neither says that it failed. The leader was short of processor, gave renewals up whose answers lay in its sockets, granted no lease for that reason, and after 5.2 s started the tasks elsewhere, while the worker was well and listed their ends in each answer. The platform takes an end as taken note of 100 ms after it was listed, and so must the leader. The class of the fault: a daemon takes its own lateness for the failure of another, and an irreversible decision rests on it.

Now a worker is lost only when two renewals in a row that were sent after its lease had certainly passed were not answered. The same holds for a new leader and workers that have not reported to it. An answer of a worker that is well is read before, however late, and says exactly what ended and what lapsed. A worker that has really failed is given up two renewals later than before.

The tests slow_leader_... and slow_new_leader_... failed before: two starts instead of one, and a start where there should be none. The test lost_worker_keeps_its_tasks_until_lease_passed now also looks at the worker in vain under its lease, which must not be enough.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -78,8 +78,8 @@
     void on_report(const base::worker_id& worker, const worker_report& report,
                    base::time_point now);
 
-    // A renewal was not answered.
-    void on_silence(const base::worker_id& worker);
+    // A renewal that was sent at `sent` was not answered.
+    void on_silence(const base::worker_id& worker, base::time_point sent);
 
     // Another worker answers at its address, so this one has ended, with all
     // that ran there.
@@ -208,6 +208,7 @@
     void forget_stop(worker_record& worker, active_run& run);
 
     // Steps.
+    bool is_lost(const worker_record& worker) const;
     void settle_workers(base::time_point now);
     void settle_stops(worker_record& worker, base::time_point now);
     void settle_jobs(base::time_point now, wall_time wall);
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -46,6 +46,11 @@
     // work of a round when very many jobs wait.
     std::size_t considered_steps = 16;
 
+    // A worker whose lease has passed counts as lost after this many renewals
+    // in a row that were sent since then and not answered: it may have listed
+    // ends in answers that this daemon was too slow to read. A second one
+    // covers an answer that was lost with its connection.
+    int lost_after_renewals = 2;
     // A run that its worker does not list, without an end, is given up after
     // this many reports in a row.
     int missing_reports = 2;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -40,6 +40,9 @@
     bool synced = false;
     // The last renewal was not answered.
     bool silent = false;
+    // Renewals in a row without an answer that were sent when its lease had
+    // certainly passed.
+    int unanswered_after_lease = 0;
     // Another worker has answered at its address.
     bool replaced = false;
     std::int64_t life = 0;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -408,7 +408,7 @@
         {
             fleet_.on_replaced(id);
         }
-        fleet_.on_silence(id);
+        fleet_.on_silence(id, result.report.sent_at);
         state.next_at = now + refused_pause;
         loop_.after(refused_pause, guarded([this] { request_step(); }));
         return;
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -205,8 +205,7 @@
     for (auto& [id, worker] : workers_)
     {
         service_round& round = rounds_[worker.listing.service];
-        const bool unsettled =
-            !worker.synced && !worker.lease.over(now, since_);
+        const bool unsettled = !worker.synced && !is_lost(worker);
         round.unsettled = round.unsettled || unsettled;
         if (unsettled || worker.unmeasured > 0)
         {
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -60,6 +60,7 @@
     }
     worker.life = report.life;
     worker.silent = false;
+    worker.unanswered_after_lease = 0;
     ++worker.reports;
     worker.lease.note_clock(report.clock, now);
     read_ended(worker, report, now);
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -61,15 +61,22 @@
     return orders;
 }
 
+// Nothing that was started there can run any more, and no end that it may have
+// listed waits to be read here. That its lease has passed is not enough: a
+// worker that answers a daemon that is short of processor has not failed.
+bool fleet::is_lost(const worker_record& worker) const
+{
+    return worker.replaced ||
+           worker.unanswered_after_lease >= options_.lost_after_renewals;
+}
+
 void fleet::settle_workers(base::time_point now)
 {
     for (auto it = workers_.begin(); it != workers_.end();)
     {
         worker_record& worker = it->second;
-        const bool dead =
-            worker.replaced || ((worker.silent || !worker.synced) &&
-                                worker.lease.over(now, since_));
-        if (dead && !worker.runs.empty())
+        const bool lost = is_lost(worker);
+        if (lost && !worker.runs.empty())
         {
             base::log(
                 base::log_level::warning, log_part,
@@ -80,7 +87,7 @@
                 worker.lease.granted().value_or(worker.report_clock).count());
             lose_all(worker);
         }
-        if (dead && !worker.listed)
+        if (lost && !worker.listed)
         {
             numbered_[static_cast<std::size_t>(worker.number)] = nullptr;
             it = workers_.erase(it);
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -81,15 +81,24 @@
     return found == workers_.end() ? 0 : found->second.ends_durable;
 }
 
-void fleet::on_silence(const base::worker_id& id)
+void fleet::on_silence(const base::worker_id& id, base::time_point sent)
 {
     const auto found = workers_.find(id);
-    if (found != workers_.end() && !found->second.silent)
+    if (found == workers_.end())
+    {
+        return;
+    }
+    worker_record& worker = found->second;
+    if (!worker.silent)
     {
-        found->second.silent = true;
+        worker.silent = true;
         base::log(base::log_level::info, log_part,
                   "Worker does not answer. worker={} runs={}", id.text(),
-                  found->second.runs.size());
+                  worker.runs.size());
+    }
+    if (worker.lease.over(sent, since_))
+    {
+        ++worker.unanswered_after_lease;
     }
 }
 
--- a/test/fleet/fleet_fixture.hpp
+++ b/test/fleet/fleet_fixture.hpp
@@ -111,6 +111,15 @@
         fleet_.on_report(base::worker_id(id), made, now_);
     }
 
+    // Renewals that are sent now and not answered.
+    void look_in_vain(const std::string& id, int count)
+    {
+        for (int i = 0; i < count; ++i)
+        {
+            fleet_.on_silence(base::worker_id(id), now_);
+        }
+    }
+
     static jobs::task_key task(const std::string& job, int index, int step = 0)
     {
         return {{base::job_id(job), 0, step}, index};
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(stray_run_of_unknown_job_keeps_worker_full);
     CPPUNIT_TEST(start_without_answer_is_stopped_before_it_runs_elsewhere);
     CPPUNIT_TEST(lost_worker_keeps_its_tasks_until_lease_passed);
+    CPPUNIT_TEST(slow_leader_does_not_start_task_of_answering_worker_again);
+    CPPUNIT_TEST(slow_new_leader_does_not_start_task_of_answering_worker_again);
     CPPUNIT_TEST(inherited_job_waits_for_every_worker);
     CPPUNIT_TEST(inherited_run_is_adopted);
     CPPUNIT_TEST(run_numbers_rise_over_epochs);
@@ -104,18 +106,62 @@
         f.confirm_starts();
         f.fleet_.grant_lease(base::worker_id("w"), f.now_);
         f.add_ready_worker("v", 1000);
-        f.fleet_.on_silence(base::worker_id("w"));
+        f.look_in_vain("w", 2);
         CPPUNIT_ASSERT(!f.fleet_.grant_lease(base::worker_id("w"), f.now_));
         f.pass(milliseconds(5000));
+        f.look_in_vain("w", 2);
         f.step();
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
         // 2% for a slow clock of the worker, and a margin.
         f.pass(milliseconds(250));
+        f.look_in_vain("w", 2);
         f.step();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
         CPPUNIT_ASSERT(f.starts[1].worker == base::worker_id("v"));
     }
 
+    // Guards against a second run of a task that has ended: the leader was too
+    // slow to read the answers of a worker that is well, and its lease passed.
+    void slow_leader_does_not_start_task_of_answering_worker_again()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.step();
+        f.confirm_starts();
+        f.fleet_.grant_lease(base::worker_id("w"), f.now_);
+        f.add_ready_worker("v", 1000);
+        f.look_in_vain("w", 5);
+        f.pass(milliseconds(6000));
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.look_in_vain("w", 1);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.report("w", {},
+                 {end_of(1, fleet_fixture::task("a", 0), 1, end_kind::done)});
+        f.pass(milliseconds(6000));
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
+    // Guards against the same after a change of the leader: the new one has no
+    // report of the worker yet.
+    void slow_new_leader_does_not_start_task_of_answering_worker_again()
+    {
+        fleet_fixture f(2);
+        f.add_worker("w", 1000);
+        f.add_ready_worker("v", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)}, true);
+        f.look_in_vain("w", 5);
+        f.pass(milliseconds(6000));
+        f.step();
+        CPPUNIT_ASSERT(f.starts.empty());
+        f.look_in_vain("w", 2);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
     // Guards against a second run of a task that a former leader started on
     // a worker which the new one has not asked yet.
     void inherited_job_waits_for_every_worker()
