Judge which runs are gone only when all ends were read

Found while looking for the cause of the tasks that ran twice elsewhere: ends are read in order, and reading waits up to 5 s at an end of a job that is not known yet. Runs whose ends lie behind it are not listed as running any more, so after two reports they counted as gone without an end and were started again, although the worker had listed that they were done. A new leader also took such a worker as fully known and started inherited tasks whose ends it had not read.

While ends are unread no run counts as gone, and a worker counts as known only once all were read. The tests run_whose_end_is_not_read_yet_... and inherited_task_whose_end_... are new; the first failed before (two starts).

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -193,7 +193,7 @@
     void lose_all(worker_record& worker);
     void read_running(worker_record& worker, const worker_report& report,
                       base::time_point now);
-    void read_ended(worker_record& worker, const worker_report& report,
+    bool read_ended(worker_record& worker, const worker_report& report,
                     base::time_point now);
     void read_missing(worker_record& worker, const worker_report& report);
     void apply_end(worker_record& worker, const run_end& end,
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -63,10 +63,13 @@
     worker.unanswered_after_lease = 0;
     ++worker.reports;
     worker.lease.note_clock(report.clock, now);
-    read_ended(worker, report, now);
+    const bool all_read = read_ended(worker, report, now);
     read_running(worker, report, now);
-    read_missing(worker, report);
-    worker.synced = true;
+    if (all_read)
+    {
+        read_missing(worker, report);
+    }
+    worker.synced = worker.synced || all_read;
     advance_acknowledged(worker);
 }
 
@@ -180,7 +183,9 @@
     }
 }
 
-void fleet::read_ended(worker_record& worker, const worker_report& report,
+// Returns whether all ends were read. Until then a run that is not listed may
+// have one of those that were not.
+bool fleet::read_ended(worker_record& worker, const worker_report& report,
                        base::time_point now)
 {
     for (const run_end& end : report.ended)
@@ -200,7 +205,7 @@
             }
             if (now - *worker.unknown_since < options_.unknown_job_wait)
             {
-                return;
+                return false;
             }
             base::log(base::log_level::warning, log_part,
                       "End of an unknown job passed over. job={} worker={}",
@@ -210,6 +215,7 @@
         worker.ends_seen = end.number;
         apply_end(worker, end, now);
     }
+    return true;
 }
 
 void fleet::apply_end(worker_record& worker, const run_end& end,
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -23,6 +23,8 @@
     CPPUNIT_TEST(lost_worker_keeps_its_tasks_until_lease_passed);
     CPPUNIT_TEST(slow_leader_does_not_start_task_of_answering_worker_again);
     CPPUNIT_TEST(slow_new_leader_does_not_start_task_of_answering_worker_again);
+    CPPUNIT_TEST(run_whose_end_is_not_read_yet_is_not_started_again);
+    CPPUNIT_TEST(inherited_task_whose_end_is_not_read_yet_is_not_started);
     CPPUNIT_TEST(inherited_job_waits_for_every_worker);
     CPPUNIT_TEST(inherited_run_is_adopted);
     CPPUNIT_TEST(run_numbers_rise_over_epochs);
@@ -145,6 +147,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
     }
 
+    // Guards against a second run of a task that has ended: its end is listed
+    // behind one of a job that is not known here yet.
+    void run_whose_end_is_not_read_yet_is_not_started_again()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.step();
+        f.confirm_starts();
+        const std::vector<run_end> ends = {
+            end_of(1, fleet_fixture::task("x", 0), 1, end_kind::done),
+            end_of(2, fleet_fixture::task("a", 0), 1, end_kind::done)};
+        for (int i = 0; i < 5; ++i)
+        {
+            f.pass(milliseconds(250));
+            f.report("w", {}, ends);
+            f.step();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.add_job("x", {fleet_fixture::step(1, 1000)}, true);
+        f.report("w", {}, ends);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
+    // Guards against the same at a new leader, which has no runs yet.
+    void inherited_task_whose_end_is_not_read_yet_is_not_started()
+    {
+        fleet_fixture f(2);
+        f.add_worker("w", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)}, true);
+        const std::vector<run_end> ends = {
+            end_of(1, fleet_fixture::task("x", 0), 1, end_kind::done),
+            end_of(2, fleet_fixture::task("a", 0), 1, end_kind::done)};
+        f.report("w", {}, ends);
+        f.step();
+        CPPUNIT_ASSERT(f.starts.empty());
+        f.pass(milliseconds(5500));
+        f.report("w", {}, ends);
+        f.step();
+        CPPUNIT_ASSERT(f.starts.empty());
+    }
+
     // Guards against the same after a change of the leader: the new one has no
     // report of the worker yet.
     void slow_new_leader_does_not_start_task_of_answering_worker_again()
