Take answers that have arrived before a call is given up

Cause: libcurl looks at the time of a call before it reads its socket. On a leader that was short of processor the client's thread ran late, and calls ended with a timeout although their answers lay in the sockets. Each one closed its connection, made its worker silent or its start uncertain, and so caused looks, stops, requests for tickets and further starts: the leader stayed short of processor when the burst had gone. Calls also lost their time while they waited for one of the connections to their worker, and ended as not sent.

The client now ends calls by itself: a call is given up only when its time had passed before the sockets were polled and everything that was ready has been read. The time of a call counts from its sending; until then the connect timeout holds.

--- a/include/coltsfootrack/http/async_client.hpp
+++ b/include/coltsfootrack/http/async_client.hpp
@@ -23,7 +23,12 @@
 //
 // As with client, each request is sent at most once. At most
 // connections_per_address connections are open to one address; further calls
-// to it wait, and their timeouts run meanwhile.
+// to it wait.
+//
+// A call that has not been sent within the connect timeout of the options, or
+// its own timeout if that is shorter, is given up as not sent. From then on its
+// own timeout counts. An answer that has arrived is taken even if the thread
+// runs late.
 //
 // Thread safety: send may be called from any thread. Callbacks run on the
 // client's thread and must return quickly.
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -3,6 +3,10 @@
 // The thread waits with epoll and tells libcurl which sockets are ready, since
 // curl_multi_perform looks at every call in flight each time, and a leader has
 // a waiting call at each worker.
+//
+// The thread also ends calls that take too long. libcurl looks at the time of a
+// call before it reads its socket, so that a thread that runs late would lose
+// answers that have arrived.
 
 #include "transfer.hpp"
 
@@ -17,6 +21,7 @@
 #include <cstring>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <thread>
@@ -38,6 +43,12 @@
 // Ready sockets handled before the next wait.
 constexpr int max_events = 64;
 
+// A call whose time has passed while its answer is being read gets at most so
+// many more rounds.
+constexpr int max_extra_rounds = 64;
+
+using steady = std::chrono::steady_clock;
+
 // One call, from its acceptance to its callback.
 struct call
 {
@@ -47,6 +58,11 @@
     async_client::callback done;
     transfer current;
     curl_slist* fields = nullptr;
+    // When it is given up next, unless more of it has happened by then.
+    std::multimap<steady::time_point, CURL*>::iterator deadline;
+    // What was received when its time had passed, and the rounds since then.
+    std::size_t received = 0;
+    int extra_rounds = 0;
 };
 
 } // namespace
@@ -121,8 +137,6 @@
     }
 
 private:
-    using steady = std::chrono::steady_clock;
-
     // libcurl wants to know when a socket is ready.
     static int on_socket(CURL* /*handle*/, curl_socket_t socket, int what,
                          void* context, void* known)
@@ -165,14 +179,19 @@
         [[maybe_unused]] const ssize_t written = write(wake_, &one, sizeof one);
     }
 
-    int wait_ms() const
+    int wait_ms(steady::time_point now) const
     {
-        if (!has_timer_)
+        auto end = now + std::chrono::milliseconds(max_wait_ms);
+        if (has_timer_)
         {
-            return max_wait_ms;
+            end = std::min(end, timer_);
         }
-        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
-            timer_ - steady::now());
+        if (!deadlines_.empty())
+        {
+            end = std::min(end, deadlines_.begin()->first);
+        }
+        const auto left =
+            std::chrono::ceil<std::chrono::milliseconds>(end - now);
         return static_cast<int>(
             std::clamp<std::int64_t>(left.count(), 0, max_wait_ms));
     }
@@ -183,8 +202,9 @@
         while (!stopping_)
         {
             start_accepted();
-            const int count =
-                epoll_wait(epoll_, events.data(), max_events, wait_ms());
+            const steady::time_point polled_at = steady::now();
+            const int count = epoll_wait(epoll_, events.data(), max_events,
+                                         wait_ms(polled_at));
             int active = 0;
             for (int i = 0; i < count; ++i)
             {
@@ -211,7 +231,57 @@
                                          &active);
             }
             finish_done();
+            if (count < max_events)
+            {
+                // Everything that was ready has been read.
+                expire(polled_at);
+            }
+        }
+    }
+
+    // Ends the calls whose time had passed before the sockets were polled. A
+    // thread that runs late thus takes answers that came in time.
+    void expire(steady::time_point polled_at)
+    {
+        while (!deadlines_.empty() && deadlines_.begin()->first <= polled_at)
+        {
+            CURL* const handle = deadlines_.begin()->second;
+            call& late = *running_.at(handle);
+            deadlines_.erase(deadlines_.begin());
+            const auto later = next_deadline(late, polled_at);
+            late.deadline =
+                deadlines_.emplace(later.value_or(polled_at), handle);
+            if (!later)
+            {
+                end(handle, CURLE_OPERATION_TIMEDOUT);
+            }
+        }
+    }
+
+    // The next deadline of a call that has not ended by its last one; nothing
+    // if it is to be given up.
+    std::optional<steady::time_point>
+    next_deadline(call& late, steady::time_point polled_at)
+    {
+        const transfer& current = late.current;
+        if (current.sends == 0)
+        {
+            return std::nullopt;
+        }
+        const auto answer_by = current.sent_at + late.timeout;
+        if (answer_by > polled_at)
+        {
+            return answer_by;
+        }
+        const std::size_t received =
+            current.header_bytes + current.answer.body.size();
+        if (received == late.received || late.extra_rounds == max_extra_rounds)
+        {
+            return std::nullopt;
         }
+        late.received = received;
+        ++late.extra_rounds;
+        return steady::now();
     }
 
     void start_accepted()
@@ -242,7 +312,10 @@
             return;
         }
         next->fields = prepare(handle, next->address, next->message, options_,
-                               next->timeout, next->current);
+                               next->timeout, expiry::by_caller, next->current);
+        next->deadline = deadlines_.emplace(
+            steady::now() + std::min(next->timeout, options_.connect_timeout),
+            handle);
         curl_multi_add_handle(multi_, handle);
         running_.emplace(handle, std::move(next));
     }
@@ -256,20 +329,25 @@
             {
                 continue;
             }
-            CURL* handle = message->easy_handle;
-            const CURLcode code = message->data.result;
-            const auto found = running_.find(handle);
-            std::unique_ptr<call> ended = std::move(found->second);
-            running_.erase(found);
-            client_result result =
-                result_of(handle, code, ended->message, ended->current);
-            curl_multi_remove_handle(multi_, handle);
-            curl_slist_free_all(ended->fields);
-            give_back(handle);
-            finish(*ended, std::move(result));
+            end(message->easy_handle, message->data.result);
         }
     }
 
+    // Ends a call, which closes its connection if the answer is not complete.
+    void end(CURL* handle, CURLcode code)
+    {
+        const auto found = running_.find(handle);
+        std::unique_ptr<call> ended = std::move(found->second);
+        running_.erase(found);
+        deadlines_.erase(ended->deadline);
+        client_result result =
+            result_of(handle, code, ended->message, ended->current);
+        curl_multi_remove_handle(multi_, handle);
+        curl_slist_free_all(ended->fields);
+        give_back(handle);
+        finish(*ended, std::move(result));
+    }
+
     void finish(call& ended, client_result result)
     {
         --in_flight_;
@@ -317,6 +395,7 @@
     std::vector<std::unique_ptr<call>> accepted_;
     // Only the thread uses what follows.
     std::map<CURL*, std::unique_ptr<call>> running_;
+    std::multimap<steady::time_point, CURL*> deadlines_;
     std::vector<CURL*> spare_;
     bool has_timer_ = false;
     steady::time_point timer_;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -117,8 +117,8 @@
         return result;
     }
     transfer current;
-    curl_slist* fields =
-        prepare(handle, address, message, options_, total_timeout, current);
+    curl_slist* fields = prepare(handle, address, message, options_,
+                                 total_timeout, expiry::by_library, current);
     const CURLcode code = curl_easy_perform(handle);
     sent_bytes_ += bytes_sent(handle, message);
     received_bytes_ += current.header_bytes + current.answer.body.size();
--- a/src/http/transfer.cpp
+++ b/src/http/transfer.cpp
@@ -21,6 +21,10 @@
 // All header lines of one answer.
 constexpr std::size_t max_header_bytes = std::size_t{64} << 10U;
 
+// libcurl gives up a connection after 5 minutes if it is told no limit.
+constexpr std::chrono::milliseconds connect_without_limit =
+    std::chrono::hours(24);
+
 // libcurl repeats a request by itself when a kept connection turns out to be
 // closed, although the server may have read it. The second attempt is refused.
 int on_send(void* context, char* /*remote_ip*/, char* /*local_ip*/,
@@ -32,6 +36,7 @@
         return CURL_PREREQFUNC_ABORT;
     }
     ++current.sends;
+    current.sent_at = std::chrono::steady_clock::now();
     return CURL_PREREQFUNC_OK;
 }
 
@@ -235,7 +240,8 @@
 
 curl_slist* prepare(CURL* handle, const std::string& address,
                     const request& message, const client_options& options,
-                    std::chrono::milliseconds total_timeout, transfer& current)
+                    std::chrono::milliseconds total_timeout, expiry ends,
+                    transfer& current)
 {
     current.max_answer_bytes = options.max_answer_bytes;
     const bool head = message.method == "HEAD";
@@ -251,11 +257,20 @@
     curl_easy_setopt(handle, CURLOPT_MAXCONNECTS, 1L);
     curl_easy_setopt(handle, CURLOPT_MAXAGE_CONN,
                      static_cast<long>(options.max_idle_age.count()));
-    curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
-                     static_cast<long>(options.connect_timeout.count()));
-    // 0 would mean no limit.
-    curl_easy_setopt(handle, CURLOPT_TIMEOUT_MS,
-                     std::max(1L, static_cast<long>(total_timeout.count())));
+    if (ends == expiry::by_library)
+    {
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(options.connect_timeout.count()));
+        // 0 would mean no limit.
+        curl_easy_setopt(
+            handle, CURLOPT_TIMEOUT_MS,
+            std::max(1L, static_cast<long>(total_timeout.count())));
+    }
+    else
+    {
+        curl_easy_setopt(handle, CURLOPT_CONNECTTIMEOUT_MS,
+                         static_cast<long>(connect_without_limit.count()));
+    }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, fields);
     curl_easy_setopt(handle, CURLOPT_PREREQFUNCTION, &on_send);
     curl_easy_setopt(handle, CURLOPT_PREREQDATA, &current);
--- a/src/http/transfer.hpp
+++ b/src/http/transfer.hpp
@@ -19,8 +19,9 @@
 {
     std::size_t header_bytes = 0;
     std::size_t max_answer_bytes = 0;
-    // How often libcurl was about to write the request.
+    // How often libcurl was about to write the request, and when first.
     int sends = 0;
+    std::chrono::steady_clock::time_point sent_at;
     bool too_large = false;
     response answer;
 };
@@ -31,12 +32,20 @@
 // Initializes libcurl once for the process.
 void initialize_library();
 
+// Who ends a call that takes too long: libcurl, or the caller of prepare.
+enum class expiry
+{
+    by_library,
+    by_caller
+};
+
 // Sets the options of a handle for one call. The request, the transfer and the
 // returned header list must live until the call has ended; the caller frees the
 // list.
 curl_slist* prepare(CURL* handle, const std::string& address,
                     const request& message, const client_options& options,
-                    std::chrono::milliseconds total_timeout, transfer& current);
+                    std::chrono::milliseconds total_timeout, expiry ends,
+                    transfer& current);
 
 // What became of a call that libcurl ended with this code. Takes the answer out
 // of the transfer.
