--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -11,11 +11,13 @@
 #include <coltsfootrack/cell/row_committer.hpp>
 #include <coltsfootrack/cell/table_follower.hpp>
 #include <coltsfootrack/cell/ticket_dispatcher.hpp>
+#include <coltsfootrack/cell/worker_relay.hpp>
 #include <coltsfootrack/daemon/control_loop.hpp>
 #include <coltsfootrack/daemon/metrics.hpp>
 #include <coltsfootrack/wire/peer_links.hpp>
 
 #include <absl/status/status.h>
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -150,6 +152,8 @@
 
     void handle(const base::daemon_id& peer, const wire::relay_request& m);
     void handle(const base::daemon_id& peer, const wire::relay_answer& m);
+    void handle(const base::daemon_id& peer, const wire::worker_call& m);
+    void handle(const base::daemon_id& peer, const wire::worker_answer& m);
 
     template <class Other>
     void handle(const base::daemon_id& /*peer*/, const Other& /*message*/)
@@ -191,6 +195,11 @@
     job_table table_;
     daemon::metrics metrics_;
     daemon::control_loop loop_;
+    worker_relay relay_;
+    // The ports of the leader, whose calls to workers the peers share.
+    ports leader_ports_;
+    // Calls to workers that are made for a leader now.
+    std::atomic<std::size_t> worker_calls_{0};
     leader_election election_;
     ticket_dispatcher dispatcher_;
     std::vector<row_committer> committers_;
--- a/include/coltsfootrack/cell/lease_renewal.hpp
+++ b/include/coltsfootrack/cell/lease_renewal.hpp
@@ -22,6 +22,9 @@
     std::optional<std::chrono::milliseconds> lease_end;
     // The answer waits this long for an end.
     std::chrono::milliseconds wait{0};
+    // The leader asks itself, not through a peer: what does not answer then is
+    // the worker.
+    bool direct = false;
 };
 
 // The answer to a lease_renewal.
--- a/include/coltsfootrack/wire/message.hpp
+++ b/include/coltsfootrack/wire/message.hpp
@@ -21,6 +21,8 @@
 #include <coltsfootrack/wire/ticket_answer.hpp>
 #include <coltsfootrack/wire/ticket_query.hpp>
 #include <coltsfootrack/wire/usage_report.hpp>
+#include <coltsfootrack/wire/worker_answer.hpp>
+#include <coltsfootrack/wire/worker_call.hpp>
 
 #include <variant>
 
@@ -34,7 +36,8 @@
                  freshness_query, freshness_answer, config_notice, job_notice,
                  usage_report, cell_status, catalogue_copy, job_copy,
                  cancel_notice, state_query, state_answer, ticket_query,
-                 ticket_answer, relay_request, relay_answer, catalogue_request>;
+                 ticket_answer, relay_request, relay_answer, catalogue_request,
+                 worker_call, worker_answer>;
 
 } // namespace coltsfootrack::wire
 
--- a/include/coltsfootrack/wire/message_type.hpp
+++ b/include/coltsfootrack/wire/message_type.hpp
@@ -31,12 +31,14 @@
     ticket_answer,
     relay_request,
     relay_answer,
-    catalogue_request
+    catalogue_request,
+    worker_call,
+    worker_answer
 };
 
-// The number of types; catalogue_request is the last one.
+// The number of types; worker_answer is the last one.
 constexpr std::size_t message_type_count =
-    static_cast<std::size_t>(message_type::catalogue_request) + 1;
+    static_cast<std::size_t>(message_type::worker_answer) + 1;
 
 // The type of a message.
 message_type type_of(const message& value);
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -87,6 +87,18 @@
 struct CatalogueRequest;
 struct CatalogueRequestBuilder;
 
+struct WorkerCall;
+struct WorkerCallBuilder;
+
+struct ReportedRun;
+struct ReportedRunBuilder;
+
+struct ReportedEnd;
+struct ReportedEndBuilder;
+
+struct WorkerAnswer;
+struct WorkerAnswerBuilder;
+
 struct Peer;
 struct PeerBuilder;
 
@@ -112,11 +124,13 @@
   RelayRequest = 18,
   RelayAnswer = 19,
   CatalogueRequest = 20,
+  WorkerCall = 21,
+  WorkerAnswer = 22,
   MIN = NONE,
-  MAX = CatalogueRequest
+  MAX = WorkerAnswer
 };
 
-inline const Body (&EnumValuesBody())[21] {
+inline const Body (&EnumValuesBody())[23] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -138,13 +152,15 @@
     Body::TicketAnswer,
     Body::RelayRequest,
     Body::RelayAnswer,
-    Body::CatalogueRequest
+    Body::CatalogueRequest,
+    Body::WorkerCall,
+    Body::WorkerAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[22] = {
+  static const char * const names[24] = {
     "NONE",
     "Hello",
     "Heartbeat",
@@ -166,13 +182,15 @@
     "RelayRequest",
     "RelayAnswer",
     "CatalogueRequest",
+    "WorkerCall",
+    "WorkerAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::CatalogueRequest)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::WorkerAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -261,6 +279,14 @@
   static const Body enum_value = Body::CatalogueRequest;
 };
 
+template<> struct BodyTraits<coltsfootrack::wire::fb::WorkerCall> {
+  static const Body enum_value = Body::WorkerCall;
+};
+
+template<> struct BodyTraits<coltsfootrack::wire::fb::WorkerAnswer> {
+  static const Body enum_value = Body::WorkerAnswer;
+};
+
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
@@ -2007,6 +2033,664 @@
   return builder_.Finish();
 }
 
+struct WorkerCall FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerCallBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_KIND = 6,
+    VT_WORKER = 8,
+    VT_ADDRESS = 10,
+    VT_EPOCH = 12,
+    VT_JOB = 14,
+    VT_OCCURRENCE = 16,
+    VT_STEP = 18,
+    VT_TASK = 20,
+    VT_RUN = 22,
+    VT_PAYLOAD = 24,
+    VT_CHECKPOINT = 26,
+    VT_TICKET = 28,
+    VT_LEASE_END_MS = 30,
+    VT_ACKNOWLEDGED = 32,
+    VT_WAIT_MS = 34,
+    VT_PACE_PERCENT = 36
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *worker() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKER);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  int32_t occurrence() const {
+    return GetField<int32_t>(VT_OCCURRENCE, 0);
+  }
+  int32_t step() const {
+    return GetField<int32_t>(VT_STEP, 0);
+  }
+  int32_t task() const {
+    return GetField<int32_t>(VT_TASK, 0);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *payload() const {
+    return GetPointer<const flatbuffers::String *>(VT_PAYLOAD);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  const flatbuffers::String *ticket() const {
+    return GetPointer<const flatbuffers::String *>(VT_TICKET);
+  }
+  int64_t lease_end_ms() const {
+    return GetField<int64_t>(VT_LEASE_END_MS, -1LL);
+  }
+  uint64_t acknowledged() const {
+    return GetField<uint64_t>(VT_ACKNOWLEDGED, 0);
+  }
+  uint32_t wait_ms() const {
+    return GetField<uint32_t>(VT_WAIT_MS, 0);
+  }
+  uint8_t pace_percent() const {
+    return GetField<uint8_t>(VT_PACE_PERCENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffsetRequired(verifier, VT_WORKER) &&
+           verifier.VerifyString(worker()) &&
+           VerifyOffsetRequired(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<int32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<int32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<int32_t>(verifier, VT_TASK, 4) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyOffset(verifier, VT_PAYLOAD) &&
+           verifier.VerifyString(payload()) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyOffset(verifier, VT_TICKET) &&
+           verifier.VerifyString(ticket()) &&
+           VerifyField<int64_t>(verifier, VT_LEASE_END_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_PACE_PERCENT, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct WorkerCallBuilder {
+  typedef WorkerCall Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_NONCE, nonce, 0);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(WorkerCall::VT_KIND, kind, 0);
+  }
+  void add_worker(flatbuffers::Offset<flatbuffers::String> worker) {
+    fbb_.AddOffset(WorkerCall::VT_WORKER, worker);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(WorkerCall::VT_ADDRESS, address);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_EPOCH, epoch, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(WorkerCall::VT_JOB, job);
+  }
+  void add_occurrence(int32_t occurrence) {
+    fbb_.AddElement<int32_t>(WorkerCall::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(int32_t step) {
+    fbb_.AddElement<int32_t>(WorkerCall::VT_STEP, step, 0);
+  }
+  void add_task(int32_t task) {
+    fbb_.AddElement<int32_t>(WorkerCall::VT_TASK, task, 0);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_RUN, run, 0);
+  }
+  void add_payload(flatbuffers::Offset<flatbuffers::String> payload) {
+    fbb_.AddOffset(WorkerCall::VT_PAYLOAD, payload);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(WorkerCall::VT_CHECKPOINT, checkpoint);
+  }
+  void add_ticket(flatbuffers::Offset<flatbuffers::String> ticket) {
+    fbb_.AddOffset(WorkerCall::VT_TICKET, ticket);
+  }
+  void add_lease_end_ms(int64_t lease_end_ms) {
+    fbb_.AddElement<int64_t>(WorkerCall::VT_LEASE_END_MS, lease_end_ms, -1LL);
+  }
+  void add_acknowledged(uint64_t acknowledged) {
+    fbb_.AddElement<uint64_t>(WorkerCall::VT_ACKNOWLEDGED, acknowledged, 0);
+  }
+  void add_wait_ms(uint32_t wait_ms) {
+    fbb_.AddElement<uint32_t>(WorkerCall::VT_WAIT_MS, wait_ms, 0);
+  }
+  void add_pace_percent(uint8_t pace_percent) {
+    fbb_.AddElement<uint8_t>(WorkerCall::VT_PACE_PERCENT, pace_percent, 0);
+  }
+  explicit WorkerCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerCall> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerCall>(end);
+    fbb_.Required(o, WorkerCall::VT_WORKER);
+    fbb_.Required(o, WorkerCall::VT_ADDRESS);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerCall> CreateWorkerCall(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> worker = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t epoch = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    int32_t occurrence = 0,
+    int32_t step = 0,
+    int32_t task = 0,
+    uint64_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> payload = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    flatbuffers::Offset<flatbuffers::String> ticket = 0,
+    int64_t lease_end_ms = -1LL,
+    uint64_t acknowledged = 0,
+    uint32_t wait_ms = 0,
+    uint8_t pace_percent = 0) {
+  WorkerCallBuilder builder_(_fbb);
+  builder_.add_acknowledged(acknowledged);
+  builder_.add_lease_end_ms(lease_end_ms);
+  builder_.add_run(run);
+  builder_.add_epoch(epoch);
+  builder_.add_nonce(nonce);
+  builder_.add_wait_ms(wait_ms);
+  builder_.add_ticket(ticket);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_payload(payload);
+  builder_.add_task(task);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  builder_.add_address(address);
+  builder_.add_worker(worker);
+  builder_.add_pace_percent(pace_percent);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<WorkerCall> CreateWorkerCallDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    uint8_t kind = 0,
+    const char *worker = nullptr,
+    const char *address = nullptr,
+    uint64_t epoch = 0,
+    const char *job = nullptr,
+    int32_t occurrence = 0,
+    int32_t step = 0,
+    int32_t task = 0,
+    uint64_t run = 0,
+    const char *payload = nullptr,
+    const char *checkpoint = nullptr,
+    const char *ticket = nullptr,
+    int64_t lease_end_ms = -1LL,
+    uint64_t acknowledged = 0,
+    uint32_t wait_ms = 0,
+    uint8_t pace_percent = 0) {
+  auto worker__ = worker ? _fbb.CreateString(worker) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto payload__ = payload ? _fbb.CreateString(payload) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  auto ticket__ = ticket ? _fbb.CreateString(ticket) : 0;
+  return coltsfootrack::wire::fb::CreateWorkerCall(
+      _fbb,
+      nonce,
+      kind,
+      worker__,
+      address__,
+      epoch,
+      job__,
+      occurrence,
+      step,
+      task,
+      run,
+      payload__,
+      checkpoint__,
+      ticket__,
+      lease_end_ms,
+      acknowledged,
+      wait_ms,
+      pace_percent);
+}
+
+struct ReportedRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReportedRunBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_OCCURRENCE = 6,
+    VT_STEP = 8,
+    VT_TASK = 10,
+    VT_RUN = 12,
+    VT_CHECKPOINT = 14,
+    VT_PERCENT = 16,
+    VT_LOAD = 18
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  int32_t occurrence() const {
+    return GetField<int32_t>(VT_OCCURRENCE, 0);
+  }
+  int32_t step() const {
+    return GetField<int32_t>(VT_STEP, 0);
+  }
+  int32_t task() const {
+    return GetField<int32_t>(VT_TASK, 0);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  int32_t percent() const {
+    return GetField<int32_t>(VT_PERCENT, 0);
+  }
+  double load() const {
+    return GetField<double>(VT_LOAD, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<int32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<int32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<int32_t>(verifier, VT_TASK, 4) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           VerifyField<int32_t>(verifier, VT_PERCENT, 4) &&
+           VerifyField<double>(verifier, VT_LOAD, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct ReportedRunBuilder {
+  typedef ReportedRun Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(ReportedRun::VT_JOB, job);
+  }
+  void add_occurrence(int32_t occurrence) {
+    fbb_.AddElement<int32_t>(ReportedRun::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(int32_t step) {
+    fbb_.AddElement<int32_t>(ReportedRun::VT_STEP, step, 0);
+  }
+  void add_task(int32_t task) {
+    fbb_.AddElement<int32_t>(ReportedRun::VT_TASK, task, 0);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(ReportedRun::VT_RUN, run, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(ReportedRun::VT_CHECKPOINT, checkpoint);
+  }
+  void add_percent(int32_t percent) {
+    fbb_.AddElement<int32_t>(ReportedRun::VT_PERCENT, percent, 0);
+  }
+  void add_load(double load) {
+    fbb_.AddElement<double>(ReportedRun::VT_LOAD, load, 0.0);
+  }
+  explicit ReportedRunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReportedRun> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReportedRun>(end);
+    fbb_.Required(o, ReportedRun::VT_JOB);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReportedRun> CreateReportedRun(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    int32_t occurrence = 0,
+    int32_t step = 0,
+    int32_t task = 0,
+    uint64_t run = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0,
+    int32_t percent = 0,
+    double load = 0.0) {
+  ReportedRunBuilder builder_(_fbb);
+  builder_.add_load(load);
+  builder_.add_run(run);
+  builder_.add_percent(percent);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_task(task);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ReportedRun> CreateReportedRunDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    int32_t occurrence = 0,
+    int32_t step = 0,
+    int32_t task = 0,
+    uint64_t run = 0,
+    const char *checkpoint = nullptr,
+    int32_t percent = 0,
+    double load = 0.0) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return coltsfootrack::wire::fb::CreateReportedRun(
+      _fbb,
+      job__,
+      occurrence,
+      step,
+      task,
+      run,
+      checkpoint__,
+      percent,
+      load);
+}
+
+struct ReportedEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReportedEndBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_JOB = 6,
+    VT_OCCURRENCE = 8,
+    VT_STEP = 10,
+    VT_TASK = 12,
+    VT_RUN = 14,
+    VT_KIND = 16,
+    VT_CHECKPOINT = 18
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  int32_t occurrence() const {
+    return GetField<int32_t>(VT_OCCURRENCE, 0);
+  }
+  int32_t step() const {
+    return GetField<int32_t>(VT_STEP, 0);
+  }
+  int32_t task() const {
+    return GetField<int32_t>(VT_TASK, 0);
+  }
+  uint64_t run() const {
+    return GetField<uint64_t>(VT_RUN, 0);
+  }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
+  const flatbuffers::String *checkpoint() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHECKPOINT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffsetRequired(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<int32_t>(verifier, VT_OCCURRENCE, 4) &&
+           VerifyField<int32_t>(verifier, VT_STEP, 4) &&
+           VerifyField<int32_t>(verifier, VT_TASK, 4) &&
+           VerifyField<uint64_t>(verifier, VT_RUN, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
+           VerifyOffset(verifier, VT_CHECKPOINT) &&
+           verifier.VerifyString(checkpoint()) &&
+           verifier.EndTable();
+  }
+};
+
+struct ReportedEndBuilder {
+  typedef ReportedEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(ReportedEnd::VT_NUMBER, number, 0);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(ReportedEnd::VT_JOB, job);
+  }
+  void add_occurrence(int32_t occurrence) {
+    fbb_.AddElement<int32_t>(ReportedEnd::VT_OCCURRENCE, occurrence, 0);
+  }
+  void add_step(int32_t step) {
+    fbb_.AddElement<int32_t>(ReportedEnd::VT_STEP, step, 0);
+  }
+  void add_task(int32_t task) {
+    fbb_.AddElement<int32_t>(ReportedEnd::VT_TASK, task, 0);
+  }
+  void add_run(uint64_t run) {
+    fbb_.AddElement<uint64_t>(ReportedEnd::VT_RUN, run, 0);
+  }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(ReportedEnd::VT_KIND, kind, 0);
+  }
+  void add_checkpoint(flatbuffers::Offset<flatbuffers::String> checkpoint) {
+    fbb_.AddOffset(ReportedEnd::VT_CHECKPOINT, checkpoint);
+  }
+  explicit ReportedEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReportedEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReportedEnd>(end);
+    fbb_.Required(o, ReportedEnd::VT_JOB);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReportedEnd> CreateReportedEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    int32_t occurrence = 0,
+    int32_t step = 0,
+    int32_t task = 0,
+    uint64_t run = 0,
+    uint8_t kind = 0,
+    flatbuffers::Offset<flatbuffers::String> checkpoint = 0) {
+  ReportedEndBuilder builder_(_fbb);
+  builder_.add_run(run);
+  builder_.add_number(number);
+  builder_.add_checkpoint(checkpoint);
+  builder_.add_task(task);
+  builder_.add_step(step);
+  builder_.add_occurrence(occurrence);
+  builder_.add_job(job);
+  builder_.add_kind(kind);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<ReportedEnd> CreateReportedEndDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *job = nullptr,
+    int32_t occurrence = 0,
+    int32_t step = 0,
+    int32_t task = 0,
+    uint64_t run = 0,
+    uint8_t kind = 0,
+    const char *checkpoint = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto checkpoint__ = checkpoint ? _fbb.CreateString(checkpoint) : 0;
+  return coltsfootrack::wire::fb::CreateReportedEnd(
+      _fbb,
+      number,
+      job__,
+      occurrence,
+      step,
+      task,
+      run,
+      kind,
+      checkpoint__);
+}
+
+struct WorkerAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef WorkerAnswerBuilder Builder;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NONCE = 4,
+    VT_TAKEN = 6,
+    VT_OUTCOME = 8,
+    VT_LIFE = 10,
+    VT_CLOCK_MS = 12,
+    VT_RUNNING = 14,
+    VT_ENDED = 16
+  };
+  uint64_t nonce() const {
+    return GetField<uint64_t>(VT_NONCE, 0);
+  }
+  bool taken() const {
+    return GetField<uint8_t>(VT_TAKEN, 0) != 0;
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  int64_t life() const {
+    return GetField<int64_t>(VT_LIFE, 0);
+  }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>> *running() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>> *>(VT_RUNNING);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *ended() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *>(VT_ENDED);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_TAKEN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<int64_t>(verifier, VT_LIFE, 8) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           VerifyOffset(verifier, VT_RUNNING) &&
+           verifier.VerifyVector(running()) &&
+           verifier.VerifyVectorOfTables(running()) &&
+           VerifyOffset(verifier, VT_ENDED) &&
+           verifier.VerifyVector(ended()) &&
+           verifier.VerifyVectorOfTables(ended()) &&
+           verifier.EndTable();
+  }
+};
+
+struct WorkerAnswerBuilder {
+  typedef WorkerAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_nonce(uint64_t nonce) {
+    fbb_.AddElement<uint64_t>(WorkerAnswer::VT_NONCE, nonce, 0);
+  }
+  void add_taken(bool taken) {
+    fbb_.AddElement<uint8_t>(WorkerAnswer::VT_TAKEN, static_cast<uint8_t>(taken), 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(WorkerAnswer::VT_OUTCOME, outcome, 0);
+  }
+  void add_life(int64_t life) {
+    fbb_.AddElement<int64_t>(WorkerAnswer::VT_LIFE, life, 0);
+  }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(WorkerAnswer::VT_CLOCK_MS, clock_ms, 0);
+  }
+  void add_running(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>>> running) {
+    fbb_.AddOffset(WorkerAnswer::VT_RUNNING, running);
+  }
+  void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>> ended) {
+    fbb_.AddOffset(WorkerAnswer::VT_ENDED, ended);
+  }
+  explicit WorkerAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<WorkerAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<WorkerAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<WorkerAnswer> CreateWorkerAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    bool taken = false,
+    uint8_t outcome = 0,
+    int64_t life = 0,
+    int64_t clock_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>>> running = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>> ended = 0) {
+  WorkerAnswerBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
+  builder_.add_life(life);
+  builder_.add_nonce(nonce);
+  builder_.add_ended(ended);
+  builder_.add_running(running);
+  builder_.add_outcome(outcome);
+  builder_.add_taken(taken);
+  return builder_.Finish();
+}
+
+inline flatbuffers::Offset<WorkerAnswer> CreateWorkerAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t nonce = 0,
+    bool taken = false,
+    uint8_t outcome = 0,
+    int64_t life = 0,
+    int64_t clock_ms = 0,
+    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>> *running = nullptr,
+    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *ended = nullptr) {
+  auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>>(*running) : 0;
+  auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>(*ended) : 0;
+  return coltsfootrack::wire::fb::CreateWorkerAnswer(
+      _fbb,
+      nonce,
+      taken,
+      outcome,
+      life,
+      clock_ms,
+      running__,
+      ended__);
+}
+
 struct Peer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef PeerBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -2080,6 +2764,12 @@
   const coltsfootrack::wire::fb::CatalogueRequest *body_as_CatalogueRequest() const {
     return body_type() == coltsfootrack::wire::fb::Body::CatalogueRequest ? static_cast<const coltsfootrack::wire::fb::CatalogueRequest *>(body()) : nullptr;
   }
+  const coltsfootrack::wire::fb::WorkerCall *body_as_WorkerCall() const {
+    return body_type() == coltsfootrack::wire::fb::Body::WorkerCall ? static_cast<const coltsfootrack::wire::fb::WorkerCall *>(body()) : nullptr;
+  }
+  const coltsfootrack::wire::fb::WorkerAnswer *body_as_WorkerAnswer() const {
+    return body_type() == coltsfootrack::wire::fb::Body::WorkerAnswer ? static_cast<const coltsfootrack::wire::fb::WorkerAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2169,6 +2859,14 @@
   return body_as_CatalogueRequest();
 }
 
+template<> inline const coltsfootrack::wire::fb::WorkerCall *Peer::body_as<coltsfootrack::wire::fb::WorkerCall>() const {
+  return body_as_WorkerCall();
+}
+
+template<> inline const coltsfootrack::wire::fb::WorkerAnswer *Peer::body_as<coltsfootrack::wire::fb::WorkerAnswer>() const {
+  return body_as_WorkerAnswer();
+}
+
 struct PeerBuilder {
   typedef Peer Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2286,6 +2984,14 @@
       auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::CatalogueRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::WorkerCall: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::WorkerCall *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::WorkerAnswer: {
+      auto ptr = reinterpret_cast<const coltsfootrack::wire::fb::WorkerAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- /dev/null
+++ b/include/coltsfootrack/wire/run_name.hpp
@@ -0,0 +1,40 @@
+#ifndef COLTSFOOTRACK_WIRE_RUN_NAME_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_RUN_NAME_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+
+#include <cstdint>
+#include <tuple>
+
+namespace coltsfootrack::wire
+{
+
+// One run of one task, as it is named between daemons.
+struct run_name
+{
+    base::job_id job;
+    std::int32_t occurrence = 0;
+    std::int32_t step = 0;
+    std::int32_t task = 0;
+    std::uint64_t run = 0;
+
+    // All fields, in order.
+    auto as_tuple() const
+    {
+        return std::tie(job, occurrence, step, task, run);
+    }
+
+    friend bool operator==(const run_name& a, const run_name& b)
+    {
+        return a.as_tuple() == b.as_tuple();
+    }
+
+    friend bool operator!=(const run_name& a, const run_name& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/worker_call.hpp
@@ -0,0 +1,64 @@
+#ifndef COLTSFOOTRACK_WIRE_WORKER_CALL_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_WORKER_CALL_HPP_INCLUDED
+
+#include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/wire/run_name.hpp>
+#include <coltsfootrack/wire/worker_call_kind.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <tuple>
+
+namespace coltsfootrack::wire
+{
+
+// Asks a peer to make a call to a worker for the leader: a renewal of its
+// lease, or an order.
+struct worker_call
+{
+    std::uint64_t nonce = 0;
+    worker_call_kind kind = worker_call_kind::renew;
+    base::worker_id worker;
+    // A numeric address with a port.
+    std::string address;
+    // The epoch of the leader, which the worker takes as fencing token.
+    std::uint64_t epoch = 0;
+    // Of an order: the run.
+    run_name run;
+    // Of a start.
+    std::string payload;
+    std::string checkpoint;
+    std::string ticket;
+    // Of a start or a renewal: the end of the lease on the worker's clock.
+    std::optional<std::chrono::milliseconds> lease_end;
+    // Of a renewal: the last end that is stored, and the longest wait for a
+    // further one.
+    std::uint64_t acknowledged = 0;
+    std::chrono::milliseconds wait{0};
+    // Of an order to pace: the share of its speed, in percent.
+    std::uint8_t pace_percent = 0;
+
+    // All fields, in order.
+    auto as_tuple() const
+    {
+        return std::tie(nonce, kind, worker, address, epoch, run, payload,
+                        checkpoint, ticket, lease_end, acknowledged, wait,
+                        pace_percent);
+    }
+
+    friend bool operator==(const worker_call& a, const worker_call& b)
+    {
+        return a.as_tuple() == b.as_tuple();
+    }
+
+    friend bool operator!=(const worker_call& a, const worker_call& b)
+    {
+        return !(a == b);
+    }
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- /dev/null
+++ b/include/coltsfootrack/wire/worker_call_kind.hpp
@@ -0,0 +1,20 @@
+#ifndef COLTSFOOTRACK_WIRE_WORKER_CALL_KIND_HPP_INCLUDED
+#define COLTSFOOTRACK_WIRE_WORKER_CALL_KIND_HPP_INCLUDED
+
+#include <cstdint>
+
+namespace coltsfootrack::wire
+{
+
+// What a peer is asked to do at a worker.
+enum class worker_call_kind : std::uint8_t
+{
+    renew,
+    start,
+    stop,
+    pace
+};
+
+} // namespace coltsfootrack::wire
+
+#endif
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -32,12 +32,17 @@
     , clock_(clock)
     , table_(options.job_parts)
     , loop_(clock, max_events)
+    , relay_(outside_.workers, options.zone, clock, metrics_,
+             [this](const base::daemon_id& peer, const wire::worker_call& call)
+             { return links_->send(peer, call); })
+    , leader_ports_(outside_)
     , election_(options.daemon, options.incarnation, options.processor_milli,
                 election_options())
     , dispatcher_(options.daemon, options.long_ticket)
     , committers_(options.job_parts)
     , catch_up_(options.behind_time, options.catalogue_retry)
 {
+    leader_ports_.workers = relay_.port();
 }
 
 cell_daemon::~cell_daemon()
@@ -75,6 +80,7 @@
                           "Peer connected. peer={}", peer.daemon.text());
                 election_.on_link(peer.daemon, true, clock_.now());
                 dispatcher_.on_link(peer.daemon, true);
+                relay_.on_link(peer.daemon, peer.zone);
                 send_status();
             });
     };
@@ -87,6 +93,7 @@
                           "Peer disconnected. peer={}", peer.text());
                 election_.on_link(peer, false, clock_.now());
                 dispatcher_.on_link(peer, false);
+                relay_.on_link_lost(peer);
             });
     };
     auto started = wire::peer_links::start(links, clock_, base::system_random(),
@@ -110,6 +117,11 @@
                     elect();
                     notice_silence();
                     commit();
+                    if (relay_.waiting())
+                    {
+                        // Behind the answers that wait in the queue.
+                        loop_.post([this] { relay_.expire(); });
+                    }
                 });
     control_ = std::thread([this] { loop_.run(); });
     return absl::OkStatus();
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -209,9 +209,9 @@
     {
         note_store(answered, election_.store_delay());
     };
-    leadership_ =
-        std::make_unique<leadership>(loop_, clock_, options_, outside_, table_,
-                                     metrics_, epoch, std::move(callbacks));
+    leadership_ = std::make_unique<leadership>(loop_, clock_, options_,
+                                               leader_ports_, table_, metrics_,
+                                               epoch, std::move(callbacks));
     if (const auto known = catalogue())
     {
         leadership_->set_catalogue(known);
@@ -301,6 +301,7 @@
                          const wire::cell_status& m)
 {
     election_.on_status(peer, m, clock_.now());
+    relay_.on_stopping(peer, m.stopping);
     if (leadership_ && m.epoch > leadership_->epoch())
     {
         step_down("peer " + peer.text() + " knows a later epoch");
--- /dev/null
+++ b/src/cell/cell_daemon_workers.cpp
@@ -0,0 +1,51 @@
+// The calls to workers that this daemon makes for a leader.
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/cell_daemon.hpp>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "relay";
+
+// Calls made for a leader at a time. A cell of 350 workers and 31 daemons needs
+// about 40; beyond this the leader makes them itself.
+constexpr std::size_t max_worker_calls = 512;
+
+} // namespace
+
+void cell_daemon::handle(const base::daemon_id& peer,
+                         const wire::worker_call& m)
+{
+    if (worker_calls_ >= max_worker_calls)
+    {
+        metrics_.count_refusal(base::error_kind::overloaded);
+        wire::worker_answer refused;
+        refused.nonce = m.nonce;
+        links_->send(peer, refused);
+        return;
+    }
+    ++worker_calls_;
+    make_relayed_call(outside_.workers, m,
+                      [this, peer](const wire::worker_answer& answer)
+                      {
+                          --worker_calls_;
+                          if (!links_->send(peer, answer))
+                          {
+                              base::log(base::log_level::info, log_part,
+                                        "Answer of a worker not passed on. "
+                                        "peer={} ended={}",
+                                        peer.text(), answer.ended.size());
+                          }
+                      });
+}
+
+void cell_daemon::handle(const base::daemon_id& /*peer*/,
+                         const wire::worker_answer& m)
+{
+    relay_.on_answer(m);
+}
+
+} // namespace coltsfootrack::cell
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -344,6 +344,7 @@
     const bool waits = worker.synced && !worker.silent &&
                        worker.ends_seen == worker.ends_durable;
     next.wait = waits ? renewal_wait() : std::chrono::milliseconds(0);
+    next.direct = worker.silent;
     state.in_flight = true;
     outside_.workers.renew(worker.listing, next,
                            posted<renewal_result>(
--- /dev/null
+++ b/src/cell/worker_messages.cpp
@@ -0,0 +1,171 @@
+// Calls to workers as messages between daemons.
+
+#include "worker_messages.hpp"
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+wire::run_name name_of(const jobs::task_key& task, std::uint64_t run)
+{
+    return {task.step.job, task.step.occurrence, task.step.step, task.index,
+            run};
+}
+
+jobs::task_key task_of(const wire::run_name& name)
+{
+    return {{name.job, name.occurrence, name.step}, name.task};
+}
+
+wire::worker_call order_call(wire::worker_call_kind kind, std::uint64_t epoch,
+                             const jobs::task_key& task, std::uint64_t run)
+{
+    wire::worker_call call;
+    call.kind = kind;
+    call.epoch = epoch;
+    call.run = name_of(task, run);
+    return call;
+}
+
+} // namespace
+
+wire::worker_call call_of(const lease_renewal& renewal)
+{
+    wire::worker_call call;
+    call.kind = wire::worker_call_kind::renew;
+    call.epoch = renewal.epoch;
+    call.acknowledged = renewal.acknowledged;
+    call.lease_end = renewal.lease_end;
+    call.wait = renewal.wait;
+    return call;
+}
+
+wire::worker_call call_of(std::uint64_t epoch, const fleet::start_order& order,
+                          std::chrono::milliseconds lease_end)
+{
+    wire::worker_call call =
+        order_call(wire::worker_call_kind::start, epoch, order.task, order.run);
+    call.payload = order.payload;
+    call.checkpoint = order.checkpoint;
+    call.ticket = order.ticket;
+    call.lease_end = lease_end;
+    return call;
+}
+
+wire::worker_call call_of(std::uint64_t epoch, const fleet::stop_order& order)
+{
+    return order_call(wire::worker_call_kind::stop, epoch, order.task,
+                      order.run);
+}
+
+wire::worker_call call_of(std::uint64_t epoch, const fleet::pace_order& order)
+{
+    wire::worker_call call =
+        order_call(wire::worker_call_kind::pace, epoch, order.task, order.run);
+    call.pace_percent = static_cast<std::uint8_t>(order.percent);
+    return call;
+}
+
+lease_renewal renewal_of(const wire::worker_call& call)
+{
+    lease_renewal renewal;
+    renewal.epoch = call.epoch;
+    renewal.acknowledged = call.acknowledged;
+    renewal.lease_end = call.lease_end;
+    renewal.wait = call.wait;
+    return renewal;
+}
+
+fleet::start_order start_of(const wire::worker_call& call)
+{
+    fleet::start_order order;
+    order.worker = call.worker;
+    order.task = task_of(call.run);
+    order.run = call.run.run;
+    order.payload = call.payload;
+    order.checkpoint = call.checkpoint;
+    order.ticket = call.ticket;
+    return order;
+}
+
+fleet::stop_order stop_of(const wire::worker_call& call)
+{
+    return {call.worker, task_of(call.run), call.run.run};
+}
+
+fleet::pace_order pace_of(const wire::worker_call& call)
+{
+    return {call.worker, task_of(call.run), call.run.run, call.pace_percent};
+}
+
+wire::worker_answer answer_of(std::uint64_t nonce, fleet::order_outcome outcome)
+{
+    wire::worker_answer answer;
+    answer.nonce = nonce;
+    answer.taken = true;
+    answer.outcome = static_cast<std::uint8_t>(outcome);
+    return answer;
+}
+
+wire::worker_answer answer_of(std::uint64_t nonce, const renewal_result& result)
+{
+    wire::worker_answer answer = answer_of(nonce, result.outcome);
+    answer.life = result.report.life;
+    answer.clock = result.report.clock;
+    answer.running.reserve(result.report.running.size());
+    for (const fleet::listed_run& run : result.report.running)
+    {
+        answer.running.push_back({name_of(run.task, run.run), run.checkpoint,
+                                  run.percent, run.load});
+    }
+    answer.ended.reserve(result.report.ended.size());
+    for (const fleet::run_end& end : result.report.ended)
+    {
+        answer.ended.push_back({end.number, name_of(end.task, end.run),
+                                static_cast<std::uint8_t>(end.kind),
+                                end.checkpoint});
+    }
+    return answer;
+}
+
+fleet::order_outcome outcome_of(const wire::worker_answer& answer)
+{
+    constexpr auto last =
+        static_cast<std::uint8_t>(fleet::order_outcome::unknown);
+    return answer.outcome <= last
+               ? static_cast<fleet::order_outcome>(answer.outcome)
+               : fleet::order_outcome::unknown;
+}
+
+renewal_result renewal_of(const wire::worker_answer& answer)
+{
+    constexpr auto last_kind =
+        static_cast<std::uint8_t>(fleet::end_kind::alone);
+    renewal_result result;
+    result.outcome = outcome_of(answer);
+    result.report.life = answer.life;
+    result.report.clock = answer.clock;
+    result.report.running.reserve(answer.running.size());
+    for (const wire::reported_run& run : answer.running)
+    {
+        result.report.running.push_back({task_of(run.run), run.run.run,
+                                         run.checkpoint, run.percent,
+                                         run.load});
+    }
+    result.report.ended.reserve(answer.ended.size());
+    for (const wire::reported_end& end : answer.ended)
+    {
+        if (end.kind > last_kind)
+        {
+            result.outcome = fleet::order_outcome::unknown;
+            return result;
+        }
+        result.report.ended.push_back(
+            {end.number, task_of(end.run), end.run.run,
+             static_cast<fleet::end_kind>(end.kind), end.checkpoint});
+    }
+    return result;
+}
+
+} // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/worker_relay.cpp
@@ -0,0 +1,272 @@
+// The calls of a leader that its peers make.
+
+#include "worker_messages.hpp"
+
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/worker_relay.hpp>
+
+#include <utility>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "relay";
+
+// A number for a worker and a peer, the same at each daemon: the peer with the
+// highest one makes the calls of the worker (rendezvous hashing, with FNV-1a).
+std::uint64_t rank_of(const base::worker_id& worker,
+                      const base::daemon_id& peer)
+{
+    constexpr std::uint64_t basis = 14695981039346656037U;
+    constexpr std::uint64_t prime = 1099511628211U;
+    std::uint64_t hash = basis;
+    for (const std::string* text : {&worker.text(), &peer.text()})
+    {
+        for (const char c : *text)
+        {
+            hash = (hash ^ static_cast<unsigned char>(c)) * prime;
+        }
+    }
+    // The last bytes alone would decide the order of similar names.
+    constexpr unsigned half = 32;
+    hash ^= hash >> half;
+    hash *= prime;
+    return hash ^ (hash >> half);
+}
+
+} // namespace
+
+worker_relay::worker_relay(const worker_port& direct, base::zone_id zone,
+                           const base::clock& clock, daemon::metrics& counters,
+                           sender send)
+    : direct_(direct)
+    , zone_(std::move(zone))
+    , clock_(clock)
+    , metrics_(counters)
+    , send_(std::move(send))
+{
+}
+
+worker_port worker_relay::port()
+{
+    worker_port made = direct_;
+    made.renew = [this](const fleet::worker_listing& worker,
+                        const lease_renewal& renewal,
+                        const renewal_callback& done)
+    {
+        if (renewal.direct)
+        {
+            direct_.renew(worker, renewal, done);
+            return;
+        }
+        // The peer has waited already; what it did not tell is wanted at once.
+        lease_renewal look = renewal;
+        look.wait = std::chrono::milliseconds(0);
+        relay(
+            worker, call_of(renewal), renewal.wait + renewal_slack,
+            [this, worker, look, done] { direct_.renew(worker, look, done); },
+            [done](const wire::worker_answer& answer)
+            {
+                renewal_result result = renewal_of(answer);
+                if (result.outcome == fleet::order_outcome::unknown ||
+                    result.outcome == fleet::order_outcome::unhealthy)
+                {
+                    // The peer did not reach the worker.
+                    return false;
+                }
+                done(std::move(result));
+                return true;
+            });
+    };
+    made.start = [this](const fleet::worker_listing& worker,
+                        std::uint64_t epoch, const fleet::start_order& order,
+                        std::chrono::milliseconds lease_end,
+                        const worker_port::order_callback& done)
+    {
+        relay_order(
+            worker, call_of(epoch, order, lease_end),
+            [this, worker, epoch, order, lease_end, done]
+            { direct_.start(worker, epoch, order, lease_end, done); },
+            done);
+    };
+    made.stop = [this](const fleet::worker_listing& worker, std::uint64_t epoch,
+                       const fleet::stop_order& order,
+                       const worker_port::order_callback& done)
+    {
+        relay_order(
+            worker, call_of(epoch, order),
+            [this, worker, epoch, order, done]
+            { direct_.stop(worker, epoch, order, done); },
+            done);
+    };
+    made.pace = [this](const fleet::worker_listing& worker, std::uint64_t epoch,
+                       const fleet::pace_order& order,
+                       const worker_port::order_callback& done)
+    {
+        relay_order(
+            worker, call_of(epoch, order),
+            [this, worker, epoch, order, done]
+            { direct_.pace(worker, epoch, order, done); },
+            done);
+    };
+    return made;
+}
+
+void worker_relay::relay_order(const fleet::worker_listing& worker,
+                               wire::worker_call call,
+                               std::function<void()> direct,
+                               worker_port::order_callback done)
+{
+    relay(worker, std::move(call), order_limit, std::move(direct),
+          [done = std::move(done)](const wire::worker_answer& answer)
+          {
+              done(outcome_of(answer));
+              return true;
+          });
+}
+
+void worker_relay::relay(const fleet::worker_listing& worker,
+                         wire::worker_call call,
+                         std::chrono::milliseconds limit,
+                         std::function<void()> direct,
+                         std::function<bool(const wire::worker_answer&)> answer)
+{
+    const auto peer = peer_for(worker);
+    call.nonce = next_nonce_++;
+    call.worker = worker.worker;
+    call.address = worker.address;
+    if (!peer || !send_(*peer, call))
+    {
+        metrics_.count_event("worker_call_direct");
+        direct();
+        return;
+    }
+    metrics_.count_event("worker_call_relayed");
+    calls_[call.nonce] = {*peer, clock_.now() + limit, std::move(direct),
+                          std::move(answer)};
+}
+
+std::optional<base::daemon_id>
+worker_relay::peer_for(const fleet::worker_listing& worker) const
+{
+    const base::time_point now = clock_.now();
+    std::optional<base::daemon_id> best;
+    bool best_near = false;
+    std::uint64_t best_rank = 0;
+    for (const auto& [id, peer] : peers_)
+    {
+        if (peer.stopping || now < peer.avoided_until)
+        {
+            continue;
+        }
+        const bool near = peer.zone == worker.zone;
+        const std::uint64_t rank = rank_of(worker.worker, id);
+        if (!best || std::pair(near, rank) > std::pair(best_near, best_rank))
+        {
+            best = id;
+            best_near = near;
+            best_rank = rank;
+        }
+    }
+    // A peer elsewhere is of no use to a worker beside the leader.
+    return best && !best_near && worker.zone == zone_ ? std::nullopt : best;
+}
+
+void worker_relay::on_link(const base::daemon_id& peer,
+                           const base::zone_id& zone)
+{
+    peers_[peer] = {zone, false, {}};
+}
+
+void worker_relay::on_link_lost(const base::daemon_id& peer)
+{
+    peers_.erase(peer);
+    std::vector<std::uint64_t> lost;
+    for (const auto& [nonce, call] : calls_)
+    {
+        if (call.peer == peer)
+        {
+            lost.push_back(nonce);
+        }
+    }
+    for (const std::uint64_t nonce : lost)
+    {
+        make_directly(nonce, "worker_call_link_lost");
+    }
+    if (!lost.empty())
+    {
+        base::log(base::log_level::info, log_part,
+                  "Calls of a lost peer are made here. peer={} calls={}",
+                  peer.text(), lost.size());
+    }
+}
+
+void worker_relay::on_stopping(const base::daemon_id& peer, bool stopping)
+{
+    const auto found = peers_.find(peer);
+    if (found != peers_.end())
+    {
+        found->second.stopping = stopping;
+    }
+}
+
+void worker_relay::on_answer(const wire::worker_answer& answer)
+{
+    const auto found = calls_.find(answer.nonce);
+    if (found == calls_.end())
+    {
+        // Given up before.
+        return;
+    }
+    if (!answer.taken)
+    {
+        make_directly(answer.nonce, "worker_call_not_taken");
+        return;
+    }
+    // Kept until the answer is known to be enough.
+    if (found->second.answer(answer))
+    {
+        calls_.erase(answer.nonce);
+        return;
+    }
+    make_directly(answer.nonce, "worker_call_peer_without_answer");
+}
+
+void worker_relay::expire()
+{
+    const base::time_point now = clock_.now();
+    std::vector<std::uint64_t> late;
+    for (const auto& [nonce, call] : calls_)
+    {
+        if (call.deadline <= now)
+        {
+            late.push_back(nonce);
+        }
+    }
+    for (const std::uint64_t nonce : late)
+    {
+        const base::daemon_id peer = calls_.at(nonce).peer;
+        const auto found = peers_.find(peer);
+        if (found != peers_.end() && found->second.avoided_until <= now)
+        {
+            found->second.avoided_until = now + peer_pause;
+            base::log(base::log_level::warning, log_part,
+                      "Peer leaves a call unanswered. peer={} pause_ms={}",
+                      peer.text(), peer_pause.count());
+        }
+        make_directly(nonce, "worker_call_unanswered");
+    }
+}
+
+void worker_relay::make_directly(std::uint64_t nonce, const char* reason)
+{
+    const auto found = calls_.find(nonce);
+    const std::function<void()> direct = std::move(found->second.direct);
+    calls_.erase(found);
+    metrics_.count_event(reason);
+    direct();
+}
+
+} // namespace coltsfootrack::cell
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -340,6 +340,80 @@
     return message(catalogue_request{m.version()});
 }
 
+absl::StatusOr<message> read(const fb::WorkerCall& m)
+{
+    field_reader fields;
+    worker_call value;
+    value.nonce = m.nonce();
+    if (m.kind() > static_cast<std::uint8_t>(worker_call_kind::pace))
+    {
+        fields.fail("kind");
+    }
+    value.kind = static_cast<worker_call_kind>(m.kind());
+    value.worker = fields.id<base::worker_id>(m.worker(), "worker");
+    value.address = m.address()->str();
+    value.epoch = m.epoch();
+    value.run = {base::job_id(text_of(m.job())), m.occurrence(), m.step(),
+                 m.task(), m.run()};
+    value.payload = text_of(m.payload());
+    value.checkpoint = text_of(m.checkpoint());
+    value.ticket = text_of(m.ticket());
+    if (m.lease_end_ms() >= 0)
+    {
+        value.lease_end = std::chrono::milliseconds(m.lease_end_ms());
+    }
+    value.acknowledged = m.acknowledged();
+    value.wait = std::chrono::milliseconds(m.wait_ms());
+    value.pace_percent = m.pace_percent();
+    return fields.result(std::move(value));
+}
+
+// Of a ReportedRun or a ReportedEnd. A worker may list a name that cannot be
+// read, so that an empty one is no error.
+template <class Entry>
+run_name run_of(const Entry& entry)
+{
+    return {base::job_id(entry.job()->str()), entry.occurrence(), entry.step(),
+            entry.task(), entry.run()};
+}
+
+absl::StatusOr<message> read(const fb::WorkerAnswer& m, std::size_t size)
+{
+    worker_answer value;
+    value.nonce = m.nonce();
+    value.taken = m.taken();
+    value.outcome = m.outcome();
+    value.life = m.life();
+    value.clock = std::chrono::milliseconds(m.clock_ms());
+    size_guard guard(size);
+    for (std::size_t i = 0; m.running() != nullptr && i < m.running()->size();
+         ++i)
+    {
+        const auto* entry =
+            m.running()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        std::string checkpoint = text_of(entry->checkpoint());
+        if (!guard.add(entry->job()->size() + checkpoint.size()))
+        {
+            return protocol_error("running entries overlap");
+        }
+        value.running.push_back({run_of(*entry), std::move(checkpoint),
+                                 entry->percent(), entry->load()});
+    }
+    for (std::size_t i = 0; m.ended() != nullptr && i < m.ended()->size(); ++i)
+    {
+        const auto* entry =
+            m.ended()->Get(static_cast<flatbuffers::uoffset_t>(i));
+        std::string checkpoint = text_of(entry->checkpoint());
+        if (!guard.add(entry->job()->size() + checkpoint.size()))
+        {
+            return protocol_error("ended entries overlap");
+        }
+        value.ended.push_back({entry->number(), run_of(*entry), entry->kind(),
+                               std::move(checkpoint)});
+    }
+    return message(std::move(value));
+}
+
 } // namespace
 
 absl::StatusOr<message> decode(std::string_view bytes)
@@ -400,6 +474,10 @@
         return read(*peer.body_as_RelayAnswer());
     case fb::Body::CatalogueRequest:
         return read(*peer.body_as_CatalogueRequest());
+    case fb::Body::WorkerCall:
+        return read(*peer.body_as_WorkerCall());
+    case fb::Body::WorkerAnswer:
+        return read(*peer.body_as_WorkerAnswer(), bytes.size());
     default:
         return protocol_error("unknown message type");
     }
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -238,6 +238,56 @@
         return {fb::Body::CatalogueRequest,
                 fb::CreateCatalogueRequest(builder, m.version).Union()};
     }
+
+    encoded_body operator()(const worker_call& m) const
+    {
+        const auto worker = text(builder, m.worker);
+        const auto address = builder.CreateString(m.address);
+        const auto job = text(builder, m.run.job);
+        const auto payload = builder.CreateString(m.payload);
+        const auto checkpoint = builder.CreateString(m.checkpoint);
+        const auto ticket = builder.CreateString(m.ticket);
+        return {fb::Body::WorkerCall,
+                fb::CreateWorkerCall(
+                    builder, m.nonce, static_cast<std::uint8_t>(m.kind), worker,
+                    address, m.epoch, job, m.run.occurrence, m.run.step,
+                    m.run.task, m.run.run, payload, checkpoint, ticket,
+                    age_ms(m.lease_end), m.acknowledged, lease_ms(m.wait),
+                    m.pace_percent)
+                    .Union()};
+    }
+
+    encoded_body operator()(const worker_answer& m) const
+    {
+        std::vector<Offset<fb::ReportedRun>> running;
+        running.reserve(m.running.size());
+        for (const reported_run& entry : m.running)
+        {
+            const auto job = text(builder, entry.run.job);
+            const auto checkpoint = builder.CreateString(entry.checkpoint);
+            running.push_back(fb::CreateReportedRun(
+                builder, job, entry.run.occurrence, entry.run.step,
+                entry.run.task, entry.run.run, checkpoint, entry.percent,
+                entry.load));
+        }
+        std::vector<Offset<fb::ReportedEnd>> ended;
+        ended.reserve(m.ended.size());
+        for (const reported_end& entry : m.ended)
+        {
+            const auto job = text(builder, entry.run.job);
+            const auto checkpoint = builder.CreateString(entry.checkpoint);
+            ended.push_back(fb::CreateReportedEnd(
+                builder, entry.number, job, entry.run.occurrence,
+                entry.run.step, entry.run.task, entry.run.run, entry.kind,
+                checkpoint));
+        }
+        const auto runs = builder.CreateVector(running);
+        const auto ends = builder.CreateVector(ended);
+        return {fb::Body::WorkerAnswer,
+                fb::CreateWorkerAnswer(builder, m.nonce, m.taken, m.outcome,
+                                       m.life, m.clock.count(), runs, ends)
+                    .Union()};
+    }
 };
 
 } // namespace
--- a/src/wire/message_type.cpp
+++ b/src/wire/message_type.cpp
@@ -12,13 +12,14 @@
 {
 
 constexpr std::array<std::string_view, message_type_count> names = {
-    "hello",          "heartbeat",        "promise_request",
-    "promise_answer", "freshness_query",  "freshness_answer",
-    "config_notice",  "job_notice",       "usage_report",
-    "cell_status",    "catalogue_copy",   "job_copy",
-    "cancel_notice",  "state_query",      "state_answer",
-    "ticket_query",   "ticket_answer",    "relay_request",
-    "relay_answer",   "catalogue_request"};
+    "hello",          "heartbeat",         "promise_request",
+    "promise_answer", "freshness_query",   "freshness_answer",
+    "config_notice",  "job_notice",        "usage_report",
+    "cell_status",    "catalogue_copy",    "job_copy",
+    "cancel_notice",  "state_query",       "state_answer",
+    "ticket_query",   "ticket_answer",     "relay_request",
+    "relay_answer",   "catalogue_request", "worker_call",
+    "worker_answer"};
 
 static_assert(std::variant_size_v<message> == message_type_count);
 static_assert(std::is_same_v<std::variant_alternative_t<
@@ -30,8 +31,8 @@
                    usage_report>);
 static_assert(
     std::is_same_v<std::variant_alternative_t<
-                       std::size_t(message_type::catalogue_request), message>,
-                   catalogue_request>);
+                       std::size_t(message_type::worker_answer), message>,
+                   worker_answer>);
 
 } // namespace
 
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -98,10 +98,59 @@
 }
 
 // Any valid message; all types are equally likely.
+inline run_name any_run_name()
+{
+    return {any_id<base::job_id>(), *rc::gen::arbitrary<std::int32_t>(),
+            *rc::gen::arbitrary<std::int32_t>(),
+            *rc::gen::arbitrary<std::int32_t>(), any_number()};
+}
+
+inline worker_call any_worker_call()
+{
+    worker_call value;
+    value.nonce = any_number();
+    value.kind =
+        *rc::gen::element(worker_call_kind::renew, worker_call_kind::start,
+                          worker_call_kind::stop, worker_call_kind::pace);
+    value.worker = any_id<base::worker_id>();
+    value.address = *rc::gen::string<std::string>();
+    value.epoch = any_number();
+    value.run = any_run_name();
+    value.payload = *rc::gen::string<std::string>();
+    value.checkpoint = *rc::gen::string<std::string>();
+    value.ticket = *rc::gen::string<std::string>();
+    value.lease_end = any_age();
+    value.acknowledged = any_number();
+    value.wait = any_span();
+    value.pace_percent = *rc::gen::arbitrary<std::uint8_t>();
+    return value;
+}
+
+inline worker_answer any_worker_answer()
+{
+    worker_answer value;
+    value.nonce = any_number();
+    value.taken = *rc::gen::arbitrary<bool>();
+    value.outcome = *rc::gen::arbitrary<std::uint8_t>();
+    value.life = any_amount();
+    value.clock = std::chrono::milliseconds(any_amount());
+    const int runs = *rc::gen::inRange(0, 10);
+    for (int i = 0; i < runs; ++i)
+    {
+        value.running.push_back({any_run_name(),
+                                 *rc::gen::string<std::string>(),
+                                 *rc::gen::arbitrary<std::int32_t>(), 0.5 * i});
+        value.ended.push_back({any_number(), any_run_name(),
+                               *rc::gen::arbitrary<std::uint8_t>(),
+                               *rc::gen::string<std::string>()});
+    }
+    return value;
+}
+
 inline message any_message()
 {
     const bool flag = *rc::gen::arbitrary<bool>();
-    switch (*rc::gen::inRange(0, 20))
+    switch (*rc::gen::inRange(0, 22))
     {
     case 0:
         return hello{any_id<base::daemon_id>(), any_number(),
@@ -147,6 +196,10 @@
     case 16:
         return relay_request{any_number(), any_id<base::job_id>(),
                              *rc::gen::string<std::string>()};
+    case 19:
+        return any_worker_call();
+    case 20:
+        return any_worker_answer();
     case 18:
         return catalogue_request{any_number()};
     case 17:
