Acknowledge no ends of a worker that does not answer

Found while looking for the cause of the tasks that ran twice elsewhere: a worker may start again under its id, with a new life in which ends count from 1. The leader learns of it with the next report, but the renewal that brings the report still acknowledged the ends of the former life, and the worker forgot ends of the new one that nobody had read: such a run counted as gone and its task was started again.

A worker that has not answered gets no acknowledgement until its next report. What is left is a worker that starts again between two renewals without a connection that breaks. The test ends_of_silent_worker_... failed before (7 instead of 0). No such case was seen in a log.

--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -83,7 +83,11 @@
 std::uint64_t fleet::acknowledged(const base::worker_id& id) const
 {
     const auto found = workers_.find(id);
-    return found == workers_.end() ? 0 : found->second.ends_durable;
+    // A worker that has stopped answering may have started again under its id,
+    // and its new ends have low numbers.
+    return found == workers_.end() || found->second.silent
+               ? 0
+               : found->second.ends_durable;
 }
 
 void fleet::on_silence(const base::worker_id& id, base::time_point sent)
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(slow_new_leader_does_not_start_task_of_answering_worker_again);
     CPPUNIT_TEST(run_whose_end_is_not_read_yet_is_not_started_again);
     CPPUNIT_TEST(inherited_task_whose_end_is_not_read_yet_is_not_started);
+    CPPUNIT_TEST(ends_of_silent_worker_are_not_acknowledged);
     CPPUNIT_TEST(inherited_job_waits_for_every_worker);
     CPPUNIT_TEST(inherited_run_is_adopted);
     CPPUNIT_TEST(run_numbers_rise_over_epochs);
@@ -172,7 +173,29 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
     }
 
-    // Guards against the same at a new leader, which has no runs yet.
+    // Guards against an end that a worker forgets unread: it has started again
+    // under its id, and the renewal acknowledges ends of its former life.
+    void ends_of_silent_worker_are_not_acknowledged()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.step();
+        f.confirm_starts();
+        f.report("w", {},
+                 {end_of(7, fleet_fixture::task("a", 0), 1, end_kind::done)});
+        f.step();
+        f.save_all();
+        const base::worker_id worker("w");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, f.fleet_.acknowledged(worker));
+        f.look_in_vain("w", 1);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, f.fleet_.acknowledged(worker));
+        f.report("w");
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, f.fleet_.acknowledged(worker));
+    }
+
+    // Guards against a second run after a change of the leader: the end of the
+    // first one is listed behind one of a job that is not known here yet.
     void inherited_task_whose_end_is_not_read_yet_is_not_started()
     {
         fleet_fixture f(2);
