Judge runs only by complete lists of ends

Found while looking for the cause of the tasks that ran twice elsewhere: a worker lists at most 500 ends at a time. Runs that had ended beyond them were neither running nor ended in its report, counted as gone after two reports, and their tasks were started again; a new leader took such a worker as fully known.

A report now says whether it has all ends, and runs are judged only by one that does. The test run_beyond_the_ends_... failed before (three starts instead of two). No such case was seen in a log: it takes a store that is away while one worker ends 500 runs.

--- a/include/coltsfootrack/fleet/worker_report.hpp
+++ b/include/coltsfootrack/fleet/worker_report.hpp
@@ -47,13 +47,16 @@
     std::chrono::milliseconds clock{0};
     std::vector<listed_run> running;
     std::vector<run_end> ended;
+    // Whether the worker has no further ends: a list has room for some only.
+    bool all_ends = true;
     // When the request was sent, on the clock of the daemon.
     base::time_point sent_at;
 
     friend bool operator==(const worker_report& a, const worker_report& b)
     {
-        return std::tie(a.life, a.clock, a.running, a.ended, a.sent_at) ==
-               std::tie(b.life, b.clock, b.running, b.ended, b.sent_at);
+        return std::tie(a.life, a.clock, a.running, a.ended, a.all_ends,
+                        a.sent_at) == std::tie(b.life, b.clock, b.running,
+                                               b.ended, b.all_ends, b.sent_at);
     }
 
     friend bool operator!=(const worker_report& a, const worker_report& b)
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -2573,7 +2573,8 @@
     VT_LIFE = 10,
     VT_CLOCK_MS = 12,
     VT_RUNNING = 14,
-    VT_ENDED = 16
+    VT_ENDED = 16,
+    VT_ALL_ENDS = 18
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -2596,6 +2597,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *ended() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *>(VT_ENDED);
   }
+  bool all_ends() const {
+    return GetField<uint8_t>(VT_ALL_ENDS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -2609,6 +2613,7 @@
            VerifyOffset(verifier, VT_ENDED) &&
            verifier.VerifyVector(ended()) &&
            verifier.VerifyVectorOfTables(ended()) &&
+           VerifyField<uint8_t>(verifier, VT_ALL_ENDS, 1) &&
            verifier.EndTable();
   }
 };
@@ -2638,6 +2643,9 @@
   void add_ended(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>> ended) {
     fbb_.AddOffset(WorkerAnswer::VT_ENDED, ended);
   }
+  void add_all_ends(bool all_ends) {
+    fbb_.AddElement<uint8_t>(WorkerAnswer::VT_ALL_ENDS, static_cast<uint8_t>(all_ends), 0);
+  }
   explicit WorkerAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2657,13 +2665,15 @@
     int64_t life = 0,
     int64_t clock_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>>> running = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>> ended = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>> ended = 0,
+    bool all_ends = false) {
   WorkerAnswerBuilder builder_(_fbb);
   builder_.add_clock_ms(clock_ms);
   builder_.add_life(life);
   builder_.add_nonce(nonce);
   builder_.add_ended(ended);
   builder_.add_running(running);
+  builder_.add_all_ends(all_ends);
   builder_.add_outcome(outcome);
   builder_.add_taken(taken);
   return builder_.Finish();
@@ -2677,7 +2687,8 @@
     int64_t life = 0,
     int64_t clock_ms = 0,
     const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>> *running = nullptr,
-    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *ended = nullptr) {
+    const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>> *ended = nullptr,
+    bool all_ends = false) {
   auto running__ = running ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedRun>>(*running) : 0;
   auto ended__ = ended ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::ReportedEnd>>(*ended) : 0;
   return coltsfootrack::wire::fb::CreateWorkerAnswer(
@@ -2688,7 +2699,8 @@
       life,
       clock_ms,
       running__,
-      ended__);
+      ended__,
+      all_ends);
 }
 
 struct Peer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/coltsfootrack/wire/worker_answer.hpp
+++ b/include/coltsfootrack/wire/worker_answer.hpp
@@ -26,11 +26,13 @@
     std::chrono::milliseconds clock{0};
     std::vector<reported_run> running;
     std::vector<reported_end> ended;
+    bool all_ends = false;
 
     // All fields, in order.
     auto as_tuple() const
     {
-        return std::tie(nonce, taken, outcome, life, clock, running, ended);
+        return std::tie(nonce, taken, outcome, life, clock, running, ended,
+                        all_ends);
     }
 
     friend bool operator==(const worker_answer& a, const worker_answer& b)
--- a/src/cell/worker_messages.cpp
+++ b/src/cell/worker_messages.cpp
@@ -113,6 +113,7 @@
     wire::worker_answer answer = answer_of(nonce, result.outcome);
     answer.life = result.report.life;
     answer.clock = result.report.clock;
+    answer.all_ends = result.report.all_ends;
     answer.running.reserve(result.report.running.size());
     for (const fleet::listed_run& run : result.report.running)
     {
@@ -146,6 +147,7 @@
     result.outcome = outcome_of(answer);
     result.report.life = answer.life;
     result.report.clock = answer.clock;
+    result.report.all_ends = answer.all_ends;
     result.report.running.reserve(answer.running.size());
     for (const wire::reported_run& run : answer.running)
     {
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -63,7 +63,7 @@
     worker.unanswered_after_lease = 0;
     ++worker.reports;
     worker.lease.note_clock(report.clock, now);
-    const bool all_read = read_ended(worker, report, now);
+    const bool all_read = read_ended(worker, report, now) && report.all_ends;
     read_running(worker, report, now);
     if (all_read)
     {
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -385,6 +385,7 @@
     value.outcome = m.outcome();
     value.life = m.life();
     value.clock = std::chrono::milliseconds(m.clock_ms());
+    value.all_ends = m.all_ends();
     size_guard guard(size);
     for (std::size_t i = 0; m.running() != nullptr && i < m.running()->size();
          ++i)
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -285,7 +285,8 @@
         const auto ends = builder.CreateVector(ended);
         return {fb::Body::WorkerAnswer,
                 fb::CreateWorkerAnswer(builder, m.nonce, m.taken, m.outcome,
-                                       m.life, m.clock.count(), runs, ends)
+                                       m.life, m.clock.count(), runs, ends,
+                                       m.all_ends)
                     .Union()};
     }
 };
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(run_whose_end_is_not_read_yet_is_not_started_again);
     CPPUNIT_TEST(inherited_task_whose_end_is_not_read_yet_is_not_started);
     CPPUNIT_TEST(ends_of_silent_worker_are_not_acknowledged);
+    CPPUNIT_TEST(run_beyond_the_ends_that_a_list_holds_is_not_gone);
     CPPUNIT_TEST(inherited_job_waits_for_every_worker);
     CPPUNIT_TEST(inherited_run_is_adopted);
     CPPUNIT_TEST(run_numbers_rise_over_epochs);
@@ -194,6 +195,31 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, f.fleet_.acknowledged(worker));
     }
 
+    // Guards against a second run of a task whose end had no room in the list.
+    void run_beyond_the_ends_that_a_list_holds_is_not_gone()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 2000);
+        f.add_job("a", {fleet_fixture::step(2, 1000)});
+        f.step();
+        f.confirm_starts();
+        worker_report part;
+        part.life = 1;
+        part.ended = {
+            end_of(1, fleet_fixture::task("a", 0), 1, end_kind::done)};
+        part.all_ends = false;
+        for (int i = 0; i < 5; ++i)
+        {
+            f.pass(milliseconds(250));
+            part.clock = std::chrono::duration_cast<milliseconds>(
+                f.now_ - base::time_point());
+            part.sent_at = f.now_;
+            f.fleet_.on_report(base::worker_id("w"), part, f.now_);
+            f.step();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+    }
+
     // Guards against a second run after a change of the leader: the end of the
     // first one is listed behind one of a job that is not known here yet.
     void inherited_task_whose_end_is_not_read_yet_is_not_started()
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -134,6 +134,7 @@
     value.outcome = *rc::gen::arbitrary<std::uint8_t>();
     value.life = any_amount();
     value.clock = std::chrono::milliseconds(any_amount());
+    value.all_ends = *rc::gen::arbitrary<bool>();
     const int runs = *rc::gen::inRange(0, 10);
     for (int i = 0; i < runs; ++i)
     {
