--- /dev/null
+++ b/test/cell/worker_relay_world.hpp
@@ -0,0 +1,202 @@
+#ifndef COLTSFOOTRACK_TEST_CELL_WORKER_RELAY_WORLD_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_CELL_WORKER_RELAY_WORLD_HPP_INCLUDED
+
+#include <coltsfootrack/base/manual_clock.hpp>
+#include <coltsfootrack/cell/worker_port.hpp>
+#include <coltsfootrack/cell/worker_relay.hpp>
+#include <coltsfootrack/daemon/metrics.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace coltsfootrack::cell
+{
+
+// A relay of a leader in zone "l" with recorded peers and a recorded direct
+// port.
+class worker_relay_world
+{
+public:
+    // A call that the leader made through a peer.
+    struct sent_call
+    {
+        base::daemon_id peer;
+        wire::worker_call call;
+    };
+
+    // A call that came to the direct port; `finish` answers it.
+    struct direct_call
+    {
+        wire::worker_call_kind kind = wire::worker_call_kind::renew;
+        fleet::worker_listing worker;
+        std::uint64_t epoch = 0;
+        lease_renewal renewal;
+        fleet::start_order start;
+        std::chrono::milliseconds lease_end{0};
+        fleet::stop_order stop;
+        fleet::pace_order pace;
+        std::function<void(renewal_result)> finish_renewal;
+        worker_port::order_callback finish_order;
+
+        // Answers the call, a renewal without a report.
+        void finish(fleet::order_outcome outcome) const
+        {
+            if (kind == wire::worker_call_kind::renew)
+            {
+                finish_renewal({outcome, {}});
+                return;
+            }
+            finish_order(outcome);
+        }
+    };
+
+    worker_relay_world()
+        : direct_port(recording_port())
+        , relay(
+              direct_port, base::zone_id("l"), clock, counters,
+              [this](const base::daemon_id& peer, const wire::worker_call& call)
+              {
+                  if (refusing.count(peer) > 0)
+                  {
+                      return false;
+                  }
+                  sent.push_back({peer, call});
+                  return true;
+              })
+        , port(relay.port())
+    {
+    }
+
+    static fleet::worker_listing worker(const std::string& name,
+                                        const std::string& zone)
+    {
+        fleet::worker_listing made;
+        made.worker = base::worker_id(name);
+        made.address = "10.0.0.1:" + std::to_string(1000 + name.size());
+        made.zone = base::zone_id(zone);
+        return made;
+    }
+
+    void link(const std::string& peer, const std::string& zone)
+    {
+        relay.on_link(base::daemon_id(peer), base::zone_id(zone));
+    }
+
+    // Makes a renewal; its outcomes are added to `outcomes`.
+    void renew(const fleet::worker_listing& to,
+               std::chrono::milliseconds wait = std::chrono::milliseconds(0),
+               bool direct = false)
+    {
+        lease_renewal renewal;
+        renewal.epoch = 7;
+        renewal.acknowledged = 3;
+        renewal.lease_end = std::chrono::milliseconds(9000);
+        renewal.wait = wait;
+        renewal.direct = direct;
+        port.renew(to, renewal,
+                   [this](const renewal_result& result)
+                   { outcomes.push_back(result.outcome); });
+    }
+
+    // Makes an order to stop a run; its outcomes are added to `outcomes`.
+    void stop(const fleet::worker_listing& to)
+    {
+        port.stop(to, 7, {to.worker, {}, 1},
+                  [this](fleet::order_outcome outcome)
+                  { outcomes.push_back(outcome); });
+    }
+
+    // An answer of a peer that took the call.
+    static wire::worker_answer answer_to(const sent_call& call,
+                                         fleet::order_outcome outcome)
+    {
+        wire::worker_answer answer;
+        answer.nonce = call.call.nonce;
+        answer.taken = true;
+        answer.outcome = static_cast<std::uint8_t>(outcome);
+        return answer;
+    }
+
+    base::manual_clock clock;
+    daemon::metrics counters;
+    // Peers that refuse to be sent to.
+    std::set<base::daemon_id> refusing;
+    std::vector<sent_call> sent;
+    std::vector<direct_call> made;
+    std::vector<fleet::order_outcome> outcomes;
+    worker_port direct_port;
+    worker_relay relay;
+    worker_port port;
+
+private:
+    worker_port recording_port()
+    {
+        worker_port recording;
+        recording.renew = [this](const fleet::worker_listing& to,
+                                 const lease_renewal& renewal,
+                                 std::function<void(renewal_result)> done)
+        {
+            direct_call call;
+            call.worker = to;
+            call.epoch = renewal.epoch;
+            call.renewal = renewal;
+            call.finish_renewal = std::move(done);
+            made.push_back(std::move(call));
+        };
+        recording.start = [this](const fleet::worker_listing& to,
+                                 std::uint64_t epoch,
+                                 const fleet::start_order& order,
+                                 std::chrono::milliseconds lease_end,
+                                 const worker_port::order_callback& done)
+        {
+            direct_call call =
+                order_call(wire::worker_call_kind::start, to, epoch, done);
+            call.start = order;
+            call.lease_end = lease_end;
+            made.push_back(std::move(call));
+        };
+        recording.stop = [this](const fleet::worker_listing& to,
+                                std::uint64_t epoch,
+                                const fleet::stop_order& order,
+                                const worker_port::order_callback& done)
+        {
+            direct_call call =
+                order_call(wire::worker_call_kind::stop, to, epoch, done);
+            call.stop = order;
+            made.push_back(std::move(call));
+        };
+        recording.pace = [this](const fleet::worker_listing& to,
+                                std::uint64_t epoch,
+                                const fleet::pace_order& order,
+                                const worker_port::order_callback& done)
+        {
+            direct_call call =
+                order_call(wire::worker_call_kind::pace, to, epoch, done);
+            call.pace = order;
+            made.push_back(std::move(call));
+        };
+        return recording;
+    }
+
+    static direct_call order_call(wire::worker_call_kind kind,
+                                  const fleet::worker_listing& to,
+                                  std::uint64_t epoch,
+                                  const worker_port::order_callback& done)
+    {
+        direct_call call;
+        call.kind = kind;
+        call.worker = to;
+        call.epoch = epoch;
+        call.finish_order = std::move(done);
+        return call;
+    }
+};
+
+} // namespace coltsfootrack::cell
+
+#endif
