Keep answers to a former process from ending calls of the new one

Cause: the nonces of a daemon's questions to its peers began at 1 in every process. A daemon that was restarted under its name gets the answers that its peers still owe to the former process, over the new connection, and they matched calls of the new one: a stop counted as carried out that was never sent, a worker's report could be taken for that of another.

Ruled out: a change of the connection within one process, since its nonces rise.

Now the nonces of a process begin at the wall time in microseconds. The same holds for the daemon's other questions to peers (jobs passed on, questions for state and tickets), where an answer to the former process could confirm a job that was not stored; these have no test of their own.

The test answer_to_former_process_changes_nothing failed before:

worker_relay_test.cpp:263:Assertion - Expression: !ended 31 passed, 1 failed

and passes now (32 passed).

--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/cell/catalogue_catch_up.hpp>
 #include <coltsfootrack/cell/cell_options.hpp>
+#include <coltsfootrack/cell/first_nonce.hpp>
 #include <coltsfootrack/cell/job_table.hpp>
 #include <coltsfootrack/cell/leader_election.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
@@ -210,7 +211,7 @@
     std::map<std::uint64_t, question> questions_;
     std::map<std::uint64_t, ticket_question> ticket_questions_;
     std::map<std::uint64_t, relay> relays_;
-    std::uint64_t next_nonce_ = 1;
+    std::uint64_t next_nonce_ = first_nonce(clock_);
     bool claiming_ = false;
     catalogue_catch_up catch_up_;
     std::uint64_t status_turn_ = 0;
--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -114,7 +114,7 @@
     sender send_;
     std::map<base::daemon_id, peer_state> peers_;
     std::map<std::uint64_t, relayed_call> calls_;
-    std::uint64_t next_nonce_ = 1;
+    std::uint64_t next_nonce_;
 };
 
 // Makes the call that a leader asks for through the direct port, and gives the
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -3,6 +3,7 @@
 #include "worker_messages.hpp"
 
 #include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/first_nonce.hpp>
 #include <coltsfootrack/cell/worker_relay.hpp>
 
 #include <utility>
@@ -46,6 +47,7 @@
     , clock_(clock)
     , metrics_(counters)
     , send_(std::move(send))
+    , next_nonce_(first_nonce(clock))
 {
 }
 
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(answer_given_twice_ends_call_once);
     CPPUNIT_TEST(answer_after_deadline_before_expiry_counts);
     CPPUNIT_TEST(answer_after_expiry_changes_nothing);
+    CPPUNIT_TEST(answer_to_former_process_changes_nothing);
     CPPUNIT_TEST(answer_not_taken_makes_call_directly);
     CPPUNIT_TEST(answer_renewal_not_carried_out_looks_directly_at_once);
     CPPUNIT_TEST(answer_renewal_refused_by_worker_is_passed_on);
@@ -239,6 +240,30 @@
                                          {order_outcome::carried_out}));
     }
 
+    // A daemon that was restarted under its name gets the answers to calls of
+    // its former process, which must not end calls of the new one.
+    void answer_to_former_process_changes_nothing()
+    {
+        worker_relay_world former;
+        former.link("a-1", "a");
+        former.stop(former.worker("v", "a"));
+        worker_relay_world restarted;
+        restarted.clock.advance(milliseconds(1));
+        worker_relay relay(restarted.direct_port, base::zone_id("l"),
+                           restarted.clock, restarted.counters,
+                           [](const base::daemon_id&, const wire::worker_call&)
+                           { return true; });
+        relay.on_link(peer_a, base::zone_id("a"));
+        bool ended = false;
+        const auto worker = restarted.worker("w", "a");
+        relay.port().stop(worker, 8, {worker.worker, {}, 1},
+                          [&ended](order_outcome) { ended = true; });
+        relay.on_answer(
+            former.answer_to(former.sent.at(0), order_outcome::carried_out));
+        CPPUNIT_ASSERT(!ended);
+        CPPUNIT_ASSERT(relay.waiting());
+    }
+
     // A full peer has not made the call.
     void answer_not_taken_makes_call_directly()
     {
