Rank only the peers in the worker's zone for a relayed call

Cause: each call hashed the name of each of 30 peers, and copied the name of the best so far.

Now peers elsewhere are passed over once one in the zone is found, and the name is copied once. The choice is the same; the tests of the relay cover it.

Ruled out: the counters, at 0.37 us of it once a call, which is 0.06% of a core at 1600 calls a second.

--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -154,26 +154,31 @@
 worker_relay::peer_for(const fleet::worker_listing& worker) const
 {
     const base::time_point now = clock_.now();
-    std::optional<base::daemon_id> best;
+    const base::daemon_id* best = nullptr;
     bool best_near = false;
     std::uint64_t best_rank = 0;
     for (const auto& [id, peer] : peers_)
     {
-        if (peer.stopping || now < peer.avoided_until)
+        const bool near = peer.zone == worker.zone;
+        if (peer.stopping || now < peer.avoided_until || (best_near && !near))
         {
             continue;
         }
-        const bool near = peer.zone == worker.zone;
         const std::uint64_t rank = rank_of(worker.worker, id);
-        if (!best || std::pair(near, rank) > std::pair(best_near, best_rank))
+        if (best == nullptr ||
+            std::pair(near, rank) > std::pair(best_near, best_rank))
         {
-            best = id;
+            best = &id;
             best_near = near;
             best_rank = rank;
         }
     }
     // A peer elsewhere is of no use to a worker beside the leader.
-    return best && !best_near && worker.zone == zone_ ? std::nullopt : best;
+    if (best == nullptr || (!best_near && worker.zone == zone_))
+    {
+        return std::nullopt;
+    }
+    return *best;
 }
 
 void worker_relay::on_link(const base::daemon_id& peer,
