Take the refusal of a repeated start as an unknown outcome

Found by review, not seen in a log: a start that a peer had passed on without an answer was made again by the leader after 0.6 s, or when the link was lost. If the run had ended by then, the worker refused the second start as old, the fleet took that as the end of the matter, and started the task again before it read the end. If the second start was refused for another reason, the peer could still pass the first one on, and two runs went side by side.

Such a start now counts as unknown unless it was carried out, fenced, or met another worker: the run is looked for, stopped, and its end is read first. A start that the peer did not take keeps its own outcome.

The model of the random sequences of calls expects the same outcome.

--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -24,9 +24,9 @@
 // Each worker has one peer that makes its calls, in its own availability zone
 // where there is one. The leader makes a call itself if it has no peer for the
 // worker, if the call is to be direct, or if the peer does not take or answer
-// it. That repeats nothing: a worker takes a start of a run that is there, a
-// stop, a pace and a renewal a second time without effect, and an order that
-// is carried out late is refused by its lease or by the number of its run.
+// it. A worker takes a start of a run that is there, a stop, a pace and a
+// renewal a second time without effect. What a second start is refused for says
+// nothing of the first one, so its outcome is then unknown.
 //
 // Thread safety: belongs to the control thread. The callbacks of the port are
 // called there or on a thread of the direct port.
@@ -80,6 +80,10 @@
 private:
     using renewal_callback = std::function<void(renewal_result)>;
 
+    // Makes a call without a peer. The argument says whether a peer may have
+    // made it before, or may yet.
+    using direct_call = std::function<void(bool repeated)>;
+
     struct peer_state
     {
         base::zone_id zone;
@@ -91,8 +95,8 @@
     {
         base::daemon_id peer;
         base::time_point deadline;
-        // Makes the call directly.
-        std::function<void()> direct;
+        // Makes the call directly; see direct_call.
+        direct_call direct;
         // Takes the answer of the peer; false if it says too little.
         std::function<bool(const wire::worker_answer&)> answer;
     };
@@ -100,12 +104,12 @@
     std::optional<base::daemon_id>
     peer_for(const fleet::worker_listing& worker) const;
     void relay(const fleet::worker_listing& worker, wire::worker_call call,
-               std::chrono::milliseconds limit, std::function<void()> direct,
+               std::chrono::milliseconds limit, direct_call direct,
                std::function<bool(const wire::worker_answer&)> answer);
     void relay_order(const fleet::worker_listing& worker,
-                     wire::worker_call call, std::function<void()> direct,
+                     wire::worker_call call, direct_call direct,
                      worker_port::order_callback done);
-    void make_directly(std::uint64_t nonce, const char* reason);
+    void make_directly(std::uint64_t nonce, bool repeated, const char* reason);
 
     const worker_port& direct_;
     base::zone_id zone_;
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -37,6 +37,19 @@
     return hash ^ (hash >> half);
 }
 
+// Of a start that a peer may have passed on: the run may be there, may have
+// ended, or may start yet, whatever the second start is refused for.
+worker_port::order_callback after_first_start(worker_port::order_callback done)
+{
+    return [done = std::move(done)](fleet::order_outcome outcome)
+    {
+        const bool certain = outcome == fleet::order_outcome::carried_out ||
+                             outcome == fleet::order_outcome::fenced ||
+                             outcome == fleet::order_outcome::other_worker;
+        done(certain ? outcome : fleet::order_outcome::unknown);
+    };
+}
+
 } // namespace
 
 worker_relay::worker_relay(const worker_port& direct, base::zone_id zone,
@@ -68,7 +81,8 @@
         look.wait = std::chrono::milliseconds(0);
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
-            [this, worker, look, done] { direct_.renew(worker, look, done); },
+            [this, worker, look, done](bool /*repeated*/)
+            { direct_.renew(worker, look, done); },
             [done](const wire::worker_answer& answer)
             {
                 renewal_result result = renewal_of(answer);
@@ -89,8 +103,11 @@
     {
         relay_order(
             worker, call_of(epoch, order, lease_end),
-            [this, worker, epoch, order, lease_end, done]
-            { direct_.start(worker, epoch, order, lease_end, done); },
+            [this, worker, epoch, order, lease_end, done](bool repeated)
+            {
+                direct_.start(worker, epoch, order, lease_end,
+                              repeated ? after_first_start(done) : done);
+            },
             done);
     };
     made.stop = [this](const fleet::worker_listing& worker, std::uint64_t epoch,
@@ -99,7 +116,7 @@
     {
         relay_order(
             worker, call_of(epoch, order),
-            [this, worker, epoch, order, done]
+            [this, worker, epoch, order, done](bool /*repeated*/)
             { direct_.stop(worker, epoch, order, done); },
             done);
     };
@@ -109,7 +126,7 @@
     {
         relay_order(
             worker, call_of(epoch, order),
-            [this, worker, epoch, order, done]
+            [this, worker, epoch, order, done](bool /*repeated*/)
             { direct_.pace(worker, epoch, order, done); },
             done);
     };
@@ -117,8 +134,7 @@
 }
 
 void worker_relay::relay_order(const fleet::worker_listing& worker,
-                               wire::worker_call call,
-                               std::function<void()> direct,
+                               wire::worker_call call, direct_call direct,
                                worker_port::order_callback done)
 {
     relay(worker, std::move(call), order_limit, std::move(direct),
@@ -131,8 +147,7 @@
 
 void worker_relay::relay(const fleet::worker_listing& worker,
                          wire::worker_call call,
-                         std::chrono::milliseconds limit,
-                         std::function<void()> direct,
+                         std::chrono::milliseconds limit, direct_call direct,
                          std::function<bool(const wire::worker_answer&)> answer)
 {
     const auto peer = peer_for(worker);
@@ -142,7 +157,7 @@
     if (!peer || !send_(*peer, call))
     {
         metrics_.count_event("worker_call_direct");
-        direct();
+        direct(false);
         return;
     }
     metrics_.count_event("worker_call_relayed");
@@ -200,7 +215,7 @@
     }
     for (const std::uint64_t nonce : lost)
     {
-        make_directly(nonce, "worker_call_link_lost");
+        make_directly(nonce, true, "worker_call_link_lost");
     }
     if (!lost.empty())
     {
@@ -229,7 +244,7 @@
     }
     if (!answer.taken)
     {
-        make_directly(answer.nonce, "worker_call_not_taken");
+        make_directly(answer.nonce, false, "worker_call_not_taken");
         return;
     }
     // Kept until the answer is known to be enough.
@@ -238,7 +253,7 @@
         calls_.erase(answer.nonce);
         return;
     }
-    make_directly(answer.nonce, "worker_call_peer_without_answer");
+    make_directly(answer.nonce, true, "worker_call_peer_without_answer");
 }
 
 void worker_relay::expire()
@@ -263,17 +278,18 @@
                       "Peer leaves a call unanswered. peer={} pause_ms={}",
                       peer.text(), peer_pause.count());
         }
-        make_directly(nonce, "worker_call_unanswered");
+        make_directly(nonce, true, "worker_call_unanswered");
     }
 }
 
-void worker_relay::make_directly(std::uint64_t nonce, const char* reason)
+void worker_relay::make_directly(std::uint64_t nonce, bool repeated,
+                                 const char* reason)
 {
     const auto found = calls_.find(nonce);
-    const std::function<void()> direct = std::move(found->second.direct);
+    const direct_call direct = std::move(found->second.direct);
     calls_.erase(found);
     metrics_.count_event(reason);
-    direct();
+    direct(repeated);
 }
 
 } // namespace coltsfootrack::cell
--- a/test/cell/worker_relay_sequence_test.cpp
+++ b/test/cell/worker_relay_sequence_test.cpp
@@ -32,6 +32,9 @@
 {
     place at = place::direct;
     bool renewal = false;
+    bool start = false;
+    // A peer may have made it before it was made directly.
+    bool repeated = false;
     // While it is at a peer.
     base::daemon_id peer;
     base::time_point deadline;
@@ -223,6 +226,7 @@
         switch (any(3))
         {
         case 0:
+            calls_[number].start = true;
             world_.port.start(worker, 1, {worker.worker, {}, 1, "", "", ""},
                               milliseconds(1), done);
             break;
@@ -261,15 +265,16 @@
             }
             else
             {
-                move(numbers_[i]);
+                move(numbers_[i], message.taken);
             }
         }
         world_.relay.on_answer(message);
     }
 
-    void move(std::size_t number)
+    void move(std::size_t number, bool repeated)
     {
         calls_[number].at = place::direct;
+        calls_[number].repeated = repeated;
         open_.push_back(number);
         ++moved;
     }
@@ -280,7 +285,7 @@
         {
             if (calls_[i].at == place::at_peer && calls_[i].peer == peer)
             {
-                move(i);
+                move(i, true);
             }
         }
         peers_.erase(peer);
@@ -322,7 +327,7 @@
             {
                 peer->second.paused_until = now + worker_relay::peer_pause;
             }
-            move(i);
+            move(i, true);
         }
         world_.relay.expire();
     }
@@ -344,7 +349,7 @@
             if (made.worker.address == std::to_string(number))
             {
                 calls_[number].at = place::ended;
-                calls_[number].expected = outcome;
+                calls_[number].expected = expected(calls_[number], outcome);
                 made.finish(outcome);
                 return;
             }
@@ -352,6 +357,17 @@
         CPPUNIT_FAIL("call was not made directly");
     }
 
+    // What a refusal of a second start says of the first is not known.
+    static order_outcome expected(const modelled_call& call,
+                                  order_outcome outcome)
+    {
+        const bool certain = outcome == order_outcome::carried_out ||
+                             outcome == order_outcome::fenced ||
+                             outcome == order_outcome::other_worker;
+        return call.start && call.repeated && !certain ? order_outcome::unknown
+                                                       : outcome;
+    }
+
     // Compares each call's place and outcome with the model.
     void compare()
     {
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -40,6 +40,8 @@
     CPPUNIT_TEST(answer_order_unknown_is_passed_on);
     CPPUNIT_TEST(answer_callback_makes_further_call);
     CPPUNIT_TEST(expire_order_only_after_its_limit);
+    CPPUNIT_TEST(expire_repeated_start_refused_is_unknown);
+    CPPUNIT_TEST(answer_start_not_taken_passes_refusal_on);
     CPPUNIT_TEST(expire_renewal_only_after_its_wait);
     CPPUNIT_TEST(expire_pauses_peer);
     CPPUNIT_TEST(link_lost_makes_only_its_calls_directly);
@@ -369,6 +371,46 @@
         CPPUNIT_ASSERT(!w.relay.waiting());
     }
 
+    // Guards against a task that runs twice: the peer has passed the start on,
+    // the run has ended, and the second start is refused for that, or the peer
+    // passes it on later.
+    void expire_repeated_start_refused_is_unknown()
+    {
+        for (const auto& [second, expected] :
+             {std::pair(order_outcome::old_run, order_outcome::unknown),
+              std::pair(order_outcome::late, order_outcome::unknown),
+              std::pair(order_outcome::no_room, order_outcome::unknown),
+              std::pair(order_outcome::bad_ticket, order_outcome::unknown),
+              std::pair(order_outcome::unhealthy, order_outcome::unknown),
+              std::pair(order_outcome::refused, order_outcome::unknown),
+              std::pair(order_outcome::carried_out, order_outcome::carried_out),
+              std::pair(order_outcome::fenced, order_outcome::fenced),
+              std::pair(order_outcome::other_worker,
+                        order_outcome::other_worker)})
+        {
+            worker_relay_world w;
+            w.link("a-1", "a");
+            w.start(w.worker("w", "a"));
+            w.clock.advance(worker_relay::order_limit);
+            w.relay.expire();
+            w.made.at(0).finish(second);
+            CPPUNIT_ASSERT(w.outcomes.at(0) == expected);
+        }
+    }
+
+    // Guards against a start that is looked for although no peer has made it.
+    void answer_start_not_taken_passes_refusal_on()
+    {
+        worker_relay_world w;
+        w.link("a-1", "a");
+        w.start(w.worker("w", "a"));
+        wire::worker_answer answer;
+        answer.nonce = w.sent.at(0).call.nonce;
+        w.relay.on_answer(answer);
+        w.made.at(0).finish(order_outcome::no_room);
+        CPPUNIT_ASSERT(w.outcomes.at(0) == order_outcome::no_room);
+    }
+
     // A renewal waits for ends at the worker, which is no silence of the peer.
     void expire_renewal_only_after_its_wait()
     {
--- a/test/cell/worker_relay_world.hpp
+++ b/test/cell/worker_relay_world.hpp
@@ -103,6 +103,17 @@
                    { outcomes.push_back(result.outcome); });
     }
 
+    // Makes an order to start a run; its outcomes are added to `outcomes`.
+    void start(const fleet::worker_listing& to)
+    {
+        fleet::start_order order;
+        order.worker = to.worker;
+        order.run = 1;
+        port.start(to, 7, order, std::chrono::milliseconds(9000),
+                   [this](fleet::order_outcome outcome)
+                   { outcomes.push_back(outcome); });
+    }
+
     // Makes an order to stop a run; its outcomes are added to `outcomes`.
     void stop(const fleet::worker_listing& to)
     {
