Recognize a worker that starts again before its ends were read

Found by review: since a worker counts as known only when all its ends were read, one that started again before that was not recognized. The numbers of its new ends were taken for those of its former life, skipped and acknowledged, and its runs were started again.

The life and the age of a report are now compared with those of any earlier report. worker_restarted_before_its_ends_were_read_counts_anew failed before: two starts instead of one.

--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -26,13 +26,13 @@
     const bool old =
         report.life < worker.life ||
         (report.life == worker.life && report.clock < worker.report_clock);
-    if (worker.synced && old)
+    if (worker.reports > 0 && old)
     {
         return;
     }
     worker.report_clock = report.clock;
     worker.replaced = false;
-    if (worker.synced && worker.life != report.life)
+    if (worker.reports > 0 && worker.life != report.life)
     {
         base::log(base::log_level::warning, log_part,
                   "Worker was restarted. worker={} life={} runs_lost={}",
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(run_numbers_rise_over_epochs);
     CPPUNIT_TEST(leaving_worker_gets_no_task);
     CPPUNIT_TEST(restarted_worker_has_lost_its_runs);
+    CPPUNIT_TEST(worker_restarted_before_its_ends_were_read_counts_anew);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -314,6 +315,36 @@
         CPPUNIT_ASSERT(f.starts.empty());
     }
 
+    // Guards against an end that is taken for one of the former life of a
+    // worker, which an end of an unknown job kept from counting as known.
+    void worker_restarted_before_its_ends_were_read_counts_anew()
+    {
+        fleet_fixture f(2);
+        f.add_worker("w", 1000);
+        f.add_job("c", {fleet_fixture::step(1, 1000)}, true);
+        f.add_job("a", {fleet_fixture::step(1, 1000)}, true);
+        f.report("w", {},
+                 {end_of(1, fleet_fixture::task("c", 0), 1, end_kind::done),
+                  end_of(2, fleet_fixture::task("x", 0), 1, end_kind::done)});
+        f.step();
+        f.save_all();
+        CPPUNIT_ASSERT(f.starts.empty());
+        f.pass(milliseconds(1000));
+        f.report("w", {}, {}, 2);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.confirm_starts();
+        const std::vector<run_end> ends = {
+            end_of(1, f.starts[0].task, f.starts[0].run, end_kind::done)};
+        for (int i = 0; i < 3; ++i)
+        {
+            f.pass(milliseconds(100));
+            f.report("w", {}, ends, 2);
+            f.step();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
     void restarted_worker_has_lost_its_runs()
     {
         fleet_fixture f;
