Take the list of workers as complete only once it was read

Found by review: the condition that the store has answered for 3 s was looked at before the first list of workers was read. A store that went away in between left the condition met, and the first list, without the entries that had expired, counted as complete.

leader_inherited_job_waits_until_list_was_read failed before, in the review: the inherited job started.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -149,6 +149,8 @@
     std::map<base::job_id, std::string> early_jobs_;
     std::vector<base::job_id> early_cancels_;
     bool loaded_ = false;
+    // The list of workers was read, and has been complete since.
+    bool workers_listed_ = false;
     bool list_settled_ = false;
     bool lost_ = false;
     bool step_requested_ = false;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -165,7 +165,8 @@
     }
     last_step_ = clock_.now();
     list_settled_ =
-        list_settled_ || !hooks_.list_settled || hooks_.list_settled();
+        list_settled_ ||
+        (workers_listed_ && (!hooks_.list_settled || hooks_.list_settled()));
     fleet_.set_list_complete(list_settled_);
     const std::vector<fleet::order> orders =
         fleet_.step(last_step_, clock_.wall(), hooks_.ticket_slots());
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -297,6 +297,7 @@
         renewals_.try_emplace(id);
         fleet_.list_worker(*listing, now);
     }
+    workers_listed_ = workers_listed_ || all;
     if (all)
     {
         std::vector<base::worker_id> gone;
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(leader_job_of_no_leader_waits_for_silent_worker);
     CPPUNIT_TEST(leader_all_workers_answer_starts_every_job);
     CPPUNIT_TEST(leader_inherited_job_waits_for_workers_not_listed_yet);
+    CPPUNIT_TEST(leader_inherited_job_waits_until_list_was_read);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
     CPPUNIT_TEST(leader_final_job_is_removed_after_its_time);
     CPPUNIT_TEST(leader_open_job_is_not_removed);
@@ -109,6 +110,28 @@
         CPPUNIT_ASSERT(world.started("former", soon));
     }
 
+    // Guards against the same when the store goes away between the takeover
+    // and the first list of workers.
+    void leader_inherited_job_waits_until_list_was_read()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.set_list_readable(false);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        CPPUNIT_ASSERT(!world.started("none", milliseconds(300)));
+        world.run(
+            [&]
+            {
+                world.set_list_settled(false);
+                world.set_list_readable(true);
+            });
+        world.send_job("own", epoch);
+        world.send_job("former", epoch - 1);
+        CPPUNIT_ASSERT(world.started("own", soon));
+        CPPUNIT_ASSERT(!world.started("former", milliseconds(300)));
+    }
+
     void leader_job_of_later_epoch_steps_down()
     {
         leadership_world world(epoch);
--- a/test/cell/leadership_world.cpp
+++ b/test/cell/leadership_world.cpp
@@ -92,6 +92,12 @@
     {
         read_result result;
         result.status = read_status::ok;
+        if (!list_readable_ && table == worker_table)
+        {
+            result.status = read_status::failed;
+            done(result);
+            return;
+        }
         result.version = store_.version();
         for (const auto& [id, row] : store_.rows())
         {
--- a/test/cell/leadership_world.hpp
+++ b/test/cell/leadership_world.hpp
@@ -76,6 +76,13 @@
         list_settled_ = settled;
     }
 
+    // Whether the list of workers can be read from the store. To be called
+    // before begin(), or inside run().
+    void set_list_readable(bool readable)
+    {
+        list_readable_ = readable;
+    }
+
 private:
     template <class Holds>
     bool wait_for(Holds holds, std::chrono::milliseconds limit);
@@ -94,6 +101,7 @@
     std::vector<fleet::start_order> starts_;
     bool lost_ = false;
     bool list_settled_ = true;
+    bool list_readable_ = true;
     ports outside_;
     std::vector<row_committer> committers_;
     std::unique_ptr<leadership> leadership_;
