Repeat an order to stop a run until it was carried out

Found while looking for the cause of the tasks that ran twice elsewhere: any answer to an order to stop a run counted as carried out, also one that says that nothing was done (429, 503, not sent). The run of a start without an answer then counted as gone with the next list that did not show it, and its task was started elsewhere, although the worker could still carry the first start out.

Only a stop that was carried out keeps the worker from starting the run later; any other is repeated. stop_that_was_refused_does_not_end_an_uncertain_run failed before: two starts instead of one.

--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -256,7 +256,7 @@
     {
         return;
     }
-    if (outcome == order_outcome::unknown)
+    if (outcome != order_outcome::carried_out)
     {
         // settle_workers repeats it after stop_retry.
         return;
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(stray_run_of_final_job_takes_room_until_its_end);
     CPPUNIT_TEST(stray_run_of_unknown_job_keeps_worker_full);
     CPPUNIT_TEST(start_without_answer_is_stopped_before_it_runs_elsewhere);
+    CPPUNIT_TEST(stop_that_was_refused_does_not_end_an_uncertain_run);
     CPPUNIT_TEST(lost_worker_keeps_its_tasks_until_lease_passed);
     CPPUNIT_TEST(slow_leader_does_not_start_task_of_answering_worker_again);
     CPPUNIT_TEST(slow_new_leader_does_not_start_task_of_answering_worker_again);
@@ -102,6 +103,35 @@
         CPPUNIT_ASSERT(f.starts[1].run > first.run);
     }
 
+    // Guards against two runs of a task: the first start is carried out late,
+    // and the order to stop it never reached the worker.
+    void stop_that_was_refused_does_not_end_an_uncertain_run()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.step();
+        const start_order first = f.starts.at(0);
+        f.add_ready_worker("v", 1000);
+        f.fleet_.on_start(first.worker, first.task, first.run,
+                          order_outcome::unknown, f.now_);
+        f.pass(milliseconds(100));
+        f.report("w");
+        f.step();
+        f.fleet_.on_stop(first.worker, first.task, first.run,
+                         order_outcome::unhealthy, f.now_);
+        for (int i = 0; i < 3; ++i)
+        {
+            f.pass(milliseconds(100));
+            f.report("w");
+            f.step();
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.pass(milliseconds(500));
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.stops.size());
+    }
+
     void lost_worker_keeps_its_tasks_until_lease_passed()
     {
         fleet_fixture f;
