Log starts and ends as lists, with occurrence and outcome names

In the incident of tasks run twice the leader wrote a line of about 150 bytes for each start, each start that was not confirmed and each end, formatted on the control thread that was short of processor already. The outcome was a number, and no line told the occurrence of a job.

A round now writes one "Starts ordered" line for each step, a turn of the loop one "Starts not confirmed" line for each step, and a worker's report one "Runs ended" line. Each entry still names its job, or stands in a line that does. The other lines about runs and tickets have the occurrence as well.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -102,6 +102,16 @@
         bool looking = false;
     };
 
+    // A start for the log. The outcome counts only for those that were not
+    // confirmed.
+    struct ordered_start
+    {
+        jobs::task_key task;
+        std::uint64_t run = 0;
+        base::worker_id worker;
+        fleet::order_outcome outcome = fleet::order_outcome::carried_out;
+    };
+
     void fence_part(std::size_t part);
     void write_fence(std::size_t part, std::uint64_t version);
     void part_fenced(std::size_t part, std::uint64_t version);
@@ -113,6 +123,8 @@
     void take_worker_rows(const std::vector<stored_row>& rows, bool all);
     void step();
     void carry_out(const fleet::start_order& next);
+    void note_unconfirmed(ordered_start start);
+    static void log_starts(std::vector<ordered_start>& starts, bool outcomes);
     void carry_out(const fleet::stop_order& next);
     void carry_out(const fleet::pace_order& next);
     void carry_out(const fleet::ticket_order& next);
@@ -152,6 +164,9 @@
     bool list_settled_ = false;
     bool lost_ = false;
     bool step_requested_ = false;
+    // Of this round, and of this turn of the loop, for the log.
+    std::vector<ordered_start> starts_;
+    std::vector<ordered_start> unconfirmed_;
     base::time_point last_step_;
     base::duration last_step_time_{0};
     // Parts with a removal of rows in flight.
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -25,6 +25,13 @@
 #include <utility>
 #include <vector>
 
+namespace coltsfootrack::base
+{
+
+class log_list;
+
+} // namespace coltsfootrack::base
+
 namespace coltsfootrack::fleet
 {
 
@@ -202,7 +209,7 @@
                     base::time_point now);
     void read_missing(worker_record& worker, const worker_report& report);
     void apply_end(worker_record& worker, const run_end& end,
-                   base::time_point now);
+                   base::log_list& line, base::time_point now);
     void apply_done(job_record& job, const jobs::task_key& task);
     void apply_failure(job_record& job, const run_end& end,
                        base::time_point now);
--- a/include/coltsfootrack/fleet/order_outcome.hpp
+++ b/include/coltsfootrack/fleet/order_outcome.hpp
@@ -1,6 +1,8 @@
 #ifndef COLTSFOOTRACK_FLEET_ORDER_OUTCOME_HPP_INCLUDED
 #define COLTSFOOTRACK_FLEET_ORDER_OUTCOME_HPP_INCLUDED
 
+#include <string_view>
+
 namespace coltsfootrack::fleet
 {
 
@@ -28,6 +30,9 @@
     unknown
 };
 
+// The name in log lines and metrics, for example "bad_ticket".
+std::string_view name_of(order_outcome outcome);
+
 } // namespace coltsfootrack::fleet
 
 #endif
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -2,6 +2,7 @@
 // takeover is in leadership_takeover.cpp.
 
 #include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/base/log_list.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
 
 #include <algorithm>
@@ -51,7 +52,10 @@
 {
 }
 
-leadership::~leadership() = default;
+leadership::~leadership()
+{
+    log_starts(unconfirmed_, true);
+}
 
 std::function<void()> leadership::guarded(std::function<void()> action) const
 {
@@ -173,6 +177,7 @@
     {
         std::visit([this](const auto& value) { carry_out(value); }, next);
     }
+    log_starts(starts_, false);
     renew_all();
     hooks_.commit();
     last_step_time_ = clock_.now() - last_step_;
@@ -189,10 +194,8 @@
         return;
     }
     metrics_.count_event("task_start_ordered");
-    base::log(base::log_level::info, log_part,
-              "Start ordered. job={} step={} task={} run={} worker={}",
-              next.task.step.job.text(), next.task.step.step, next.task.index,
-              next.run, next.worker.text());
+    starts_.push_back(
+        {next.task, next.run, next.worker, fleet::order_outcome::carried_out});
     outside_.workers.start(
         found->second.listing, epoch(), next, *lease,
         posted<fleet::order_outcome>(
@@ -201,11 +204,7 @@
             {
                 if (outcome != fleet::order_outcome::carried_out)
                 {
-                    base::log(base::log_level::info, log_part,
-                              "Start not confirmed. job={} step={} task={} "
-                              "run={} worker={} outcome={}",
-                              task.step.job.text(), task.step.step, task.index,
-                              run, worker.text(), static_cast<int>(outcome));
+                    note_unconfirmed({task, run, worker, outcome});
                 }
                 note_outcome(outcome, worker);
                 fleet_.on_start(worker, task, run, outcome, clock_.now());
@@ -220,6 +219,43 @@
             }));
 }
 
+void leadership::note_unconfirmed(ordered_start start)
+{
+    if (unconfirmed_.empty())
+    {
+        // The outcomes that wait already are handled before.
+        loop_.post(guarded([this] { log_starts(unconfirmed_, true); }));
+    }
+    unconfirmed_.push_back(std::move(start));
+}
+
+// Writes a line for each step, so that a burst of starts costs few lines, and
+// empties the list.
+void leadership::log_starts(std::vector<ordered_start>& starts, bool outcomes)
+{
+    std::stable_sort(starts.begin(), starts.end(),
+                     [](const ordered_start& a, const ordered_start& b)
+                     { return a.task.step < b.task.step; });
+    const char* const event =
+        outcomes ? "Starts not confirmed" : "Starts ordered";
+    for (auto first = starts.begin(); first != starts.end();)
+    {
+        const jobs::step_key step = first->task.step;
+        base::log_list line(
+            base::log_level::info, log_part,
+            fmt::format("{}. job={} occurrence={} step={} starts=", event,
+                        step.job.text(), step.occurrence, step.step));
+        for (; first != starts.end() && first->task.step == step; ++first)
+        {
+            line.add("{}:{}@{}{}{}", first->task.index, first->run,
+                     first->worker.text(), outcomes ? ":" : "",
+                     outcomes ? fleet::name_of(first->outcome)
+                              : std::string_view());
+        }
+    }
+    starts.clear();
+}
+
 void leadership::carry_out(const fleet::stop_order& next)
 {
     const auto found = fleet_.workers().find(next.worker);
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -146,11 +146,12 @@
         active_run& run = victim->second;
         request_stop(*best.worker, run);
         base::log(base::log_level::info, log_part,
-                  "Run preempted. job={} step={} task={} run={} worker={} "
+                  "Run preempted. job={} occurrence={} step={} task={} run={} "
+                  "worker={} "
                   "percent={} for={}",
-                  key.step.job.text(), key.step.step, key.index, run.run,
-                  best.worker->listing.worker.text(), run.percent,
-                  next.key.job.text());
+                  key.step.job.text(), key.step.occurrence, key.step.step,
+                  key.index, run.run, best.worker->listing.worker.text(),
+                  run.percent, next.key.job.text());
     }
     return true;
 }
@@ -250,10 +251,11 @@
         }
         request_stop(*worker, run);
         base::log(base::log_level::info, log_part,
-                  "Run preempted for the limit of its team. job={} step={} "
+                  "Run preempted for the limit of its team. job={} "
+                  "occurrence={} step={} "
                   "task={} run={} percent={} for={}",
-                  key.step.job.text(), key.step.step, key.index, run.run,
-                  run.percent, next.key.job.text());
+                  key.step.job.text(), key.step.occurrence, key.step.step,
+                  key.index, run.run, run.percent, next.key.job.text());
     }
 }
 
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -1,6 +1,7 @@
 // The reports of workers: what runs there, what is missing, and what has ended.
 
 #include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/base/log_list.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
@@ -105,19 +106,22 @@
             {
                 attach(worker, listed.task, added, *task);
                 job->begun = true;
-                base::log(base::log_level::info, log_part,
-                          "Run adopted. job={} step={} task={} run={} "
-                          "worker={}",
-                          listed.task.step.job.text(), listed.task.step.step,
-                          listed.task.index, listed.run,
-                          worker.listing.worker.text());
+                base::log(
+                    base::log_level::info, log_part,
+                    "Run adopted. job={} occurrence={} step={} task={} run={} "
+                    "worker={}",
+                    listed.task.step.job.text(), listed.task.step.occurrence,
+                    listed.task.step.step, listed.task.index, listed.run,
+                    worker.listing.worker.text());
             }
             else if (job != nullptr)
             {
                 base::log(base::log_level::info, log_part,
-                          "Run not wanted. job={} step={} task={} run={} "
+                          "Run not wanted. job={} occurrence={} step={} "
+                          "task={} run={} "
                           "worker={}",
-                          listed.task.step.job.text(), listed.task.step.step,
+                          listed.task.step.job.text(),
+                          listed.task.step.occurrence, listed.task.step.step,
                           listed.task.index, listed.run,
                           worker.listing.worker.text());
                 request_stop(worker, added);
@@ -175,10 +179,12 @@
             continue;
         }
         base::log(base::log_level::info, log_part,
-                  "Run is gone without an end. job={} step={} task={} run={} "
+                  "Run is gone without an end. job={} occurrence={} step={} "
+                  "task={} run={} "
                   "worker={}",
-                  run->first.step.job.text(), run->first.step.step,
-                  run->first.index, active.run, worker.listing.worker.text());
+                  run->first.step.job.text(), run->first.step.occurrence,
+                  run->first.step.step, run->first.index, active.run,
+                  worker.listing.worker.text());
         run = drop_run(worker, run);
     }
 }
@@ -188,6 +194,13 @@
 bool fleet::read_ended(worker_record& worker, const worker_report& report,
                        base::time_point now)
 {
+    if (report.ended.empty())
+    {
+        return true;
+    }
+    base::log_list line(base::log_level::info, log_part,
+                        "Runs ended. worker=" + worker.listing.worker.text() +
+                            " ends=");
     for (const run_end& end : report.ended)
     {
         if (end.number <= worker.ends_seen)
@@ -208,18 +221,21 @@
                 return false;
             }
             base::log(base::log_level::warning, log_part,
-                      "End of an unknown job passed over. job={} worker={}",
-                      end.task.step.job.text(), worker.listing.worker.text());
+                      "End of an unknown job passed over. job={} occurrence={} "
+                      "step={} task={} run={} worker={} how={}",
+                      end.task.step.job.text(), end.task.step.occurrence,
+                      end.task.step.step, end.task.index, end.run,
+                      worker.listing.worker.text(), name_of(end.kind));
         }
         worker.unknown_since.reset();
         worker.ends_seen = end.number;
-        apply_end(worker, end, now);
+        apply_end(worker, end, line, now);
     }
     return true;
 }
 
 void fleet::apply_end(worker_record& worker, const run_end& end,
-                      base::time_point now)
+                      base::log_list& line, base::time_point now)
 {
     const auto run = worker.runs.find(end.task);
     if (run != worker.runs.end() && run->second.run <= end.run)
@@ -250,12 +266,9 @@
         task->avoid = worker.listing.worker;
         apply_failure(*job, end, now);
     }
-    base::log(base::log_level::info, log_part,
-              "Run ended. job={} step={} task={} run={} worker={} how={} "
-              "failures={}",
-              end.task.step.job.text(), end.task.step.step, end.task.index,
-              end.run, worker.listing.worker.text(), name_of(end.kind),
-              task->failures.size());
+    line.add("{}.{}.{}.{}:{}:{}:{}", end.task.step.job.text(),
+             end.task.step.occurrence, end.task.step.step, end.task.index,
+             end.run, name_of(end.kind), task->failures.size());
     // An end that changes nothing needs no write, but one that repeats a
     // change that is not stored yet waits for it.
     const bool counted =
--- a/src/fleet/fleet_step.cpp
+++ b/src/fleet/fleet_step.cpp
@@ -200,10 +200,11 @@
                 continue;
             }
             base::log(base::log_level::warning, log_part,
-                      "Run stands still and is stopped. job={} step={} task={} "
+                      "Run stands still and is stopped. job={} occurrence={} "
+                      "step={} task={} "
                       "run={} worker={} percent={}",
-                      key.step.job.text(), key.step.step, key.index, run.run,
-                      id.text(), run.percent);
+                      key.step.job.text(), key.step.occurrence, key.step.step,
+                      key.index, run.run, id.text(), run.percent);
             request_stop(worker, run);
             task_record* task = find_task(key);
             if (task != nullptr)
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -48,8 +48,8 @@
     }
     step->asking = false;
     base::log(base::log_level::info, "fleet",
-              "Tickets decided. job={} step={} asked={} good={}",
-              key.job.text(), key.step, asked.size(),
+              "Tickets decided. job={} occurrence={} step={} asked={} good={}",
+              key.job.text(), key.occurrence, key.step, asked.size(),
               grants ? static_cast<int>(grants->size()) : -1);
     if (!grants)
     {
--- a/test/cell/leadership_world.cpp
+++ b/test/cell/leadership_world.cpp
@@ -136,7 +136,7 @@
                                 milliseconds /*lease_end*/, const auto& done)
     {
         starts_.push_back(order);
-        done(fleet::order_outcome::carried_out);
+        done(start_outcome_);
     };
     made.workers.stop = [](const fleet::worker_listing& /*worker*/,
                            std::uint64_t /*epoch*/,
@@ -204,13 +204,13 @@
     }
 }
 
-std::string leadership_world::job_row(std::uint64_t leader_epoch)
+std::string leadership_world::job_row(std::uint64_t leader_epoch) const
 {
     jobs::job_submission job;
     job.queue = "q";
     job.leader_epoch = leader_epoch;
     jobs::step_spec step;
-    step.tasks = 1;
+    step.tasks = tasks_;
     step.need = {1000, 100, 0};
     step.estimate = milliseconds(1000);
     job.spec.steps = {step};
--- a/test/cell/leadership_world.hpp
+++ b/test/cell/leadership_world.hpp
@@ -69,6 +69,18 @@
 
     bool wait_loaded(std::chrono::milliseconds limit);
 
+    // The tasks of each job, and what becomes of each start. To be called
+    // before begin().
+    void set_tasks(int tasks)
+    {
+        tasks_ = tasks;
+    }
+
+    void set_start_outcome(fleet::order_outcome outcome)
+    {
+        start_outcome_ = outcome;
+    }
+
     // Whether the store's list of workers counts as complete; it does unless
     // told otherwise. To be called before begin(), or inside run().
     void set_list_settled(bool settled)
@@ -83,7 +95,7 @@
     void answer_follow(const std::string& table, std::uint64_t after,
                        int attempts, store_port::read_callback done);
     void commit();
-    static std::string job_row(std::uint64_t leader_epoch);
+    std::string job_row(std::uint64_t leader_epoch) const;
 
     base::system_clock clock_;
     job_table table_;
@@ -92,6 +104,8 @@
     naive_store store_;
     std::set<std::string> silent_;
     std::vector<fleet::start_order> starts_;
+    int tasks_ = 1;
+    fleet::order_outcome start_outcome_ = fleet::order_outcome::carried_out;
     bool lost_ = false;
     bool list_settled_ = true;
     ports outside_;
--- /dev/null
+++ b/test/fleet/log_test.cpp
@@ -0,0 +1,73 @@
+// The log lines of a fleet: each end must be found by its job, and a burst of
+// ends must not cost a line each.
+
+#include "fleet_fixture.hpp"
+#include "log_capture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootrack::fleet
+{
+
+class log_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(log_test);
+    CPPUNIT_TEST(report_with_ends_is_one_line_with_each_job);
+    CPPUNIT_TEST(report_that_repeats_its_ends_is_not_logged_again);
+    CPPUNIT_TEST(outcome_of_each_kind_has_its_name);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void report_with_ends_is_one_line_with_each_job()
+    {
+        const log_capture log;
+        fleet_fixture f;
+        add_work(f);
+        f.report("w", {}, ends());
+        const std::vector<std::string> lines = log.with("Runs ended");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, lines.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("Runs ended. worker=w ends=a.0.0.0:1:done:0,"
+                        "b.0.0.1:1:failed:1"),
+            lines[0]);
+    }
+
+    void report_that_repeats_its_ends_is_not_logged_again()
+    {
+        const log_capture log;
+        fleet_fixture f;
+        add_work(f);
+        f.report("w", {}, ends());
+        f.report("w", {}, ends());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, log.with("Runs ended").size());
+    }
+
+    // Guards against a table of names that is one short or out of order.
+    void outcome_of_each_kind_has_its_name()
+    {
+        CPPUNIT_ASSERT(name_of(order_outcome::carried_out) == "carried_out");
+        CPPUNIT_ASSERT(name_of(order_outcome::late) == "late");
+        CPPUNIT_ASSERT(name_of(order_outcome::other_worker) == "other_worker");
+        CPPUNIT_ASSERT(name_of(order_outcome::unknown) == "unknown");
+    }
+
+private:
+    static void add_work(fleet_fixture& f)
+    {
+        f.add_ready_worker("w", 8000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.add_job("b", {fleet_fixture::step(2, 1000)});
+        f.step();
+        f.confirm_starts();
+    }
+
+    static std::vector<run_end> ends()
+    {
+        return {end_of(1, fleet_fixture::task("a", 0), 1, end_kind::done),
+                end_of(2, fleet_fixture::task("b", 1), 1, end_kind::failed)};
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(log_test);
+
+} // namespace coltsfootrack::fleet
