Judge in the soak whether a task starts again after a listed end

The judge knew only ends that the leader had acknowledged.

The stand-in runner records the first answer that shows an end, and when its lease lapses. The judge takes an end for known when it is acknowledged, or 100 ms after it was listed where the run says that no fault is near, unless the worker's lease lapses before. A start after such an end is a fault, also if the end becomes known only later.

--- a/test/soak/fact_checker.cpp
+++ b/test/soak/fact_checker.cpp
@@ -8,6 +8,13 @@
 
 namespace coltsfootrack::soak
 {
+namespace
+{
+
+// The platform takes an end for known this long after it was listed.
+constexpr std::int64_t listed_grace_ms = 100;
+
+} // namespace
 
 fact_checker::fact_checker(std::int64_t worker_cpu_milli)
     : worker_cpu_milli_(worker_cpu_milli)
@@ -86,6 +93,13 @@
     for (const nlohmann::json& fact : facts)
     {
         const auto kind = fact.at("kind").get<std::string>();
+        const auto now_ms = fact.value("ms", std::int64_t{0});
+        settle_ends(now_ms);
+        if (kind == "lapse")
+        {
+            drop_open_ends(fact.at("worker").get<std::string>());
+            continue;
+        }
         if (kind == "life")
         {
             lose_worker(fact.at("worker").get<std::string>());
@@ -100,6 +114,15 @@
         {
             end(fact, task);
         }
+        else if (kind == "listed")
+        {
+            open_end* own = find_end(fact, task);
+            if (own != nullptr && count_listed_ends_)
+            {
+                own->due_ms = now_ms + listed_grace_ms;
+                listed_.emplace_back(own->due_ms, task, own->worker, own->run);
+            }
+        }
         else
         {
             acknowledge(fact, task);
@@ -128,6 +151,18 @@
     {
         fail(fact, "a task in two places");
     }
+    for (open_end& known_end : done_ends_[task])
+    {
+        if (known_end.started_again.is_null())
+        {
+            known_end.started_again = fact;
+        }
+        if (known_end.noted)
+        {
+            fail(fact, "a task again after its end was taken note of");
+            break;
+        }
+    }
     if (own.done_acknowledged)
     {
         fail(fact, "a task again after its end was acknowledged");
@@ -169,6 +204,10 @@
     {
         own.done = true;
         own.done_runs.insert({worker, run});
+        open_end added;
+        added.worker = worker;
+        added.run = run;
+        done_ends_[task].push_back(std::move(added));
     }
     else if (fact.at("how") == "failed")
     {
@@ -185,13 +224,72 @@
     task_facts& own = tasks_[task];
     own.done_acknowledged =
         own.done_acknowledged || own.done_runs.count(run) > 0;
+    open_end* known_end = find_end(fact, task);
+    if (known_end != nullptr)
+    {
+        note_end(*known_end);
+    }
     own.failures_acknowledged += own.failed_runs.count(run) > 0 ? 1 : 0;
 }
 
+// An end counts from when it is taken note of, also for a start before that.
+void fact_checker::note_end(open_end& own)
+{
+    if (!own.noted && !own.started_again.is_null())
+    {
+        fail(own.started_again,
+             "a task again after an end that was taken note of later");
+    }
+    own.noted = true;
+}
+
+void fact_checker::settle_ends(std::int64_t now_ms)
+{
+    while (!listed_.empty() && std::get<0>(listed_.front()) <= now_ms)
+    {
+        const auto [due, task, worker, run] = listed_.front();
+        listed_.pop_front();
+        for (open_end& own : done_ends_[task])
+        {
+            if (own.worker == worker && own.run == run && own.due_ms == due)
+            {
+                note_end(own);
+            }
+        }
+    }
+}
+
+// An end whose worker's lease lapses before it is taken note of never counts.
+void fact_checker::drop_open_ends(const std::string& worker)
+{
+    for (auto& [task, ends] : done_ends_)
+    {
+        ends.erase(std::remove_if(ends.begin(), ends.end(),
+                                  [&](const open_end& own) {
+                                      return own.worker == worker && !own.noted;
+                                  }),
+                   ends.end());
+    }
+}
+
+fact_checker::open_end* fact_checker::find_end(const nlohmann::json& fact,
+                                               const std::string& task)
+{
+    for (open_end& own : done_ends_[task])
+    {
+        if (own.worker == fact.at("worker") && own.run == fact.at("run"))
+        {
+            return &own;
+        }
+    }
+    return nullptr;
+}
+
 // A worker that starts again runs nothing, and what it had not told is lost.
 void fact_checker::lose_worker(const std::string& worker)
 {
     used_[worker] = 0;
+    drop_open_ends(worker);
     for (auto& [task, own] : tasks_)
     {
         for (auto it = own.running.begin(); it != own.running.end();)
--- a/test/soak/fact_checker.hpp
+++ b/test/soak/fact_checker.hpp
@@ -2,10 +2,12 @@
 #define COLTSFOOTRACK_TEST_SOAK_FACT_CHECKER_HPP_INCLUDED
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -50,6 +52,14 @@
         return jobs_;
     }
 
+    // Whether an end counts as taken note of 100 ms after a worker has listed
+    // it, read or not. The platform says so while no fault is near; a daemon
+    // that is short of processor is none.
+    void count_listed_ends(bool count)
+    {
+        count_listed_ends_ = count;
+    }
+
     // Takes facts of workers in the order in which they happened.
     void apply(const nlohmann::json& facts);
 
@@ -92,6 +102,23 @@
         int failures_acknowledged = 0;
     };
 
+    // A done end that may still be taken note of.
+    struct open_end
+    {
+        std::string worker;
+        std::uint64_t run = 0;
+        // When it counts as taken note of, in milliseconds, unless the lease
+        // lapses before; -1 while it has not been listed.
+        std::int64_t due_ms = -1;
+        bool noted = false;
+        // The start after the end, if there was one.
+        nlohmann::json started_again;
+    };
+
+    void note_end(open_end& own);
+    void settle_ends(std::int64_t now_ms);
+    void drop_open_ends(const std::string& worker);
+    open_end* find_end(const nlohmann::json& fact, const std::string& task);
     void start(const nlohmann::json& fact, const std::string& task);
     void end(const nlohmann::json& fact, const std::string& task);
     void acknowledge(const nlohmann::json& fact, const std::string& task);
@@ -103,6 +130,12 @@
     std::int64_t worker_cpu_milli_;
     std::map<std::string, known_job> jobs_;
     std::map<std::string, task_facts> tasks_;
+    std::map<std::string, std::vector<open_end>> done_ends_;
+    // Listed ends in the order of their times: time, task, worker, run.
+    std::deque<
+        std::tuple<std::int64_t, std::string, std::string, std::uint64_t>>
+        listed_;
+    bool count_listed_ends_ = false;
     std::map<std::string, std::int64_t> used_;
     std::set<std::string> started_jobs_;
     std::vector<std::string> faults_;
--- a/test/standins/cell/cell_runner.cpp
+++ b/test/standins/cell/cell_runner.cpp
@@ -52,7 +52,9 @@
     born_ = steady::now();
     fence_ = 0;
     lease_end_ = 0;
+    lapsed_ = true;
     next_end_ = 1;
+    listed_upto_ = 0;
     running_.clear();
     ended_.clear();
     highest_.clear();
@@ -163,6 +165,7 @@
         lease_end_ = std::max(
             lease_end_, std::min(body.at("deadline_ms").get<std::int64_t>(),
                                  clock() + longest_lease_ms));
+        lapsed_ = lapsed_ && clock() >= lease_end_;
     }
 }
 
@@ -269,13 +272,17 @@
     {
         return;
     }
+    if (!std::exchange(lapsed_, true))
+    {
+        record_({{"kind", "lapse"}, {"worker", id_}});
+    }
     while (!running_.empty())
     {
         finish(running_.begin()->first, running_.begin()->second.run, "lapsed");
     }
 }
 
-http::response cell_runner::lists() const
+http::response cell_runner::lists()
 {
     json running = json::array();
     for (const auto& [task, run] : running_)
@@ -290,6 +297,14 @@
     for (const auto& [number, end] : ended_)
     {
         ended.push_back(end);
+        if (number > listed_upto_)
+        {
+            listed_upto_ = number;
+            record_({{"kind", "listed"},
+                     {"worker", id_},
+                     {"task", end.at(1)},
+                     {"run", end.at(2)}});
+        }
     }
     return reply(200, {{"clock_ms", clock()},
                        {"born", life_},
--- a/test/standins/cell/cell_runner.hpp
+++ b/test/standins/cell/cell_runner.hpp
@@ -27,7 +27,8 @@
 class cell_runner
 {
 public:
-    // Takes each fact: {"kind": start|end|ack|life, ...}.
+    // Takes each fact: {"kind": start|end|listed|ack|lapse|life, ...}; "listed"
+    // is the first answer to a renewal that shows an end.
     using recorder = std::function<void(nlohmann::json)>;
 
     // Whether a ticket is valid for a step and a worker.
@@ -72,7 +73,7 @@
     http::response stop(const json& body);
     void hold(const json& body,
               const std::function<void(http::response)>& reply);
-    http::response lists() const;
+    http::response lists();
     http::response refuse(const char* reason) const;
     bool fenced(const json& body);
     void extend(const json& body);
@@ -91,7 +92,9 @@
     steady::time_point born_;
     std::uint64_t fence_ = 0;
     std::int64_t lease_end_ = 0;
+    bool lapsed_ = true;
     std::uint64_t next_end_ = 1;
+    std::uint64_t listed_upto_ = 0;
     std::map<std::string, active> running_;
     std::map<std::uint64_t, json> ended_;
     std::map<std::string, std::uint64_t> highest_;
