--- a/test/cell/worker_relay_world.hpp
+++ b/test/cell/worker_relay_world.hpp
@@ -203,7 +203,7 @@
         call.kind = kind;
         call.worker = to;
         call.epoch = epoch;
-        call.finish_order = std::move(done);
+        call.finish_order = done;
         return call;
     }
 };
