Extend no lease as a leader that is cut off

Found by review, not seen in a log: a leader that was cut off beside some of its workers went on renewing them, while the next leader counted their leases as over 5.2 s after its takeover and started their tasks elsewhere: two runs side by side on workers that are up.

A leader that has had no answer of the store for 1.5 s and reaches less than half of the cell now renews without a lease and orders no starts. An outage of the store alone changes nothing. The two parts together, with a real partition of zones, were not played.

--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -188,6 +188,7 @@
     void state_from_store(const base::job_id& id, state_callback done);
     void note_store(bool answered, std::chrono::milliseconds delay);
     void notice_silence();
+    void notice_isolation();
     void publish_waiting(const std::map<std::string, int>& counts);
 
     cell_options options_;
@@ -217,6 +218,8 @@
     std::uint64_t status_turn_ = 0;
     bool store_up_ = false;
     base::time_point store_answered_at_;
+    // Neither the store nor half of the cell is in reach.
+    bool isolated_ = false;
     // Since when it has answered without a failure.
     base::time_point store_up_since_;
     mutable std::mutex mutex_;
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -78,6 +78,10 @@
     // about 2 s of its return; another second for following the list. A new
     // leader starts no inherited job before the store has answered this long.
     milliseconds list_settle_time{3000};
+    // A leader that has had no answer of the store for this long, and reaches
+    // less than half of the cell, extends no lease: as long as others wait
+    // before they take over from it.
+    milliseconds isolated_after{1500};
     // A submission that was not sent to the store by then is refused.
     milliseconds submit_limit{1000};
     // A peer is asked only if the local attempt took less: callers wait 3 s.
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -52,6 +52,10 @@
         // Whether the store has answered long enough for its list of workers
         // to be complete after an outage; without a function it is.
         std::function<bool()> list_settled;
+        // Whether this daemon reaches neither the store nor most of the cell,
+        // so that another may lead without its knowledge. It then extends no
+        // lease; without a function it never is.
+        std::function<bool()> isolated;
         // Notes an answer of the store, or a failure.
         std::function<void(bool)> on_store;
     };
@@ -131,6 +135,8 @@
     void carry_out(const fleet::save_order& next);
     void forget_final_jobs();
     void remove_rows(std::size_t part, std::vector<base::job_id> ids);
+    std::optional<std::chrono::milliseconds>
+    grant_lease(const base::worker_id& worker);
     void renew_all();
     void renew(const base::worker_id& id, renewal& state);
     void look_at(const base::worker_id& id);
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -116,6 +116,7 @@
                 {
                     elect();
                     notice_silence();
+                    notice_isolation();
                     commit();
                     if (relay_.waiting())
                     {
@@ -273,4 +274,21 @@
     }
 }
 
+void cell_daemon::notice_isolation()
+{
+    const bool store_lost =
+        clock_.now() - store_answered_at_ > options_.isolated_after;
+    // Members include this daemon.
+    const bool isolated =
+        store_lost && 2 * (links_->connected().size() + 1) <= members_.size();
+    if (isolated != isolated_)
+    {
+        isolated_ = isolated;
+        base::log(base::log_level::warning, log_part, "{}",
+                  isolated
+                      ? "Neither the store nor half of the cell is in reach."
+                      : "The store or half of the cell is in reach again.");
+    }
+}
+
 } // namespace coltsfootrack::cell
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -210,6 +210,10 @@
         return store_up_ &&
                clock_.now() - store_up_since_ >= options_.list_settle_time;
     };
+    callbacks.isolated = [this]
+    {
+        return isolated_;
+    };
     callbacks.on_store = [this](bool answered)
     {
         note_store(answered, election_.store_delay());
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -187,7 +187,7 @@
 void leadership::carry_out(const fleet::start_order& next)
 {
     const auto found = fleet_.workers().find(next.worker);
-    const auto lease = fleet_.grant_lease(next.worker, clock_.now());
+    const auto lease = grant_lease(next.worker);
     if (found == fleet_.workers().end() || !lease)
     {
         fleet_.on_start(next.worker, next.task, next.run,
@@ -350,6 +350,18 @@
         });
 }
 
+// The next leader counts the leases of this one as over some seconds after its
+// own takeover, also at workers that only this one reaches.
+std::optional<std::chrono::milliseconds>
+leadership::grant_lease(const base::worker_id& worker)
+{
+    if (hooks_.isolated && hooks_.isolated())
+    {
+        return std::nullopt;
+    }
+    return fleet_.grant_lease(worker, clock_.now());
+}
+
 void leadership::renew_all()
 {
     const base::time_point now = clock_.now();
@@ -378,7 +390,7 @@
     lease_renewal next;
     next.epoch = epoch();
     next.acknowledged = fleet_.acknowledged(id);
-    next.lease_end = fleet_.grant_lease(id, now);
+    next.lease_end = grant_lease(id);
     // The first answer is wanted at once, and that of a worker that may be
     // gone soon.
     const bool waits = worker.synced && !worker.silent &&
@@ -418,7 +430,7 @@
     lease_renewal next;
     next.epoch = epoch();
     next.acknowledged = fleet_.acknowledged(id);
-    next.lease_end = fleet_.grant_lease(id, now);
+    next.lease_end = grant_lease(id);
     state.looking = true;
     outside_.workers.renew(
         worker->second.listing, next,
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(leader_all_workers_answer_starts_every_job);
     CPPUNIT_TEST(leader_inherited_job_waits_for_workers_not_listed_yet);
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_was_read);
+    CPPUNIT_TEST(leader_isolated_extends_no_lease_and_starts_nothing);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
     CPPUNIT_TEST(leader_final_job_is_removed_after_its_time);
     CPPUNIT_TEST(leader_open_job_is_not_removed);
@@ -132,6 +133,31 @@
         CPPUNIT_ASSERT(!world.started("former", milliseconds(300)));
     }
 
+    // Guards against two runs of a task: the next leader counts the leases of
+    // one that is cut off beside its workers as over.
+    void leader_isolated_extends_no_lease_and_starts_nothing()
+    {
+        leadership_world world(epoch);
+        world.add_worker("w1", true);
+        world.begin();
+        CPPUNIT_ASSERT(world.wait_loaded(soon));
+        world.send_job("before", epoch);
+        CPPUNIT_ASSERT(world.started("before", soon));
+        int granted = 0;
+        world.run(
+            [&]
+            {
+                world.set_isolated(true);
+                granted = world.leases();
+            });
+        CPPUNIT_ASSERT(granted > 0);
+        world.send_job("after", epoch);
+        CPPUNIT_ASSERT(!world.started("after", milliseconds(500)));
+        world.run([&] { CPPUNIT_ASSERT_EQUAL(granted, world.leases()); });
+        world.run([&] { world.set_isolated(false); });
+        CPPUNIT_ASSERT(world.started("after", milliseconds(3000)));
+    }
+
     void leader_job_of_later_epoch_steps_down()
     {
         leadership_world world(epoch);
--- a/test/cell/leadership_world.cpp
+++ b/test/cell/leadership_world.cpp
@@ -45,6 +45,10 @@
     {
         return list_settled_;
     };
+    callbacks.isolated = [this]
+    {
+        return isolated_;
+    };
     callbacks.on_store = [](bool /*answered*/) {
     };
     leadership_ =
@@ -126,11 +130,11 @@
         return listing;
     };
     made.workers.renew = [this](const fleet::worker_listing& worker,
-                                const lease_renewal& /*renewal*/,
-                                const auto& done)
+                                const lease_renewal& renewal, const auto& done)
     {
         renewal_result result;
         result.report.life = 1;
+        leases_ += renewal.lease_end ? 1 : 0;
         result.outcome = silent_.count(worker.worker.text()) != 0
                              ? fleet::order_outcome::unhealthy
                              : fleet::order_outcome::carried_out;
--- a/test/cell/leadership_world.hpp
+++ b/test/cell/leadership_world.hpp
@@ -88,6 +88,19 @@
         list_settled_ = settled;
     }
 
+    // Whether the leader reaches neither the store nor most of the cell. To be
+    // called before begin(), or inside run().
+    void set_isolated(bool isolated)
+    {
+        isolated_ = isolated;
+    }
+
+    // Leases granted by renewals so far. To be called inside run().
+    int leases() const
+    {
+        return leases_;
+    }
+
     // Whether the list of workers can be read from the store. To be called
     // before begin(), or inside run().
     void set_list_readable(bool readable)
@@ -116,6 +129,8 @@
     bool lost_ = false;
     bool list_settled_ = true;
     bool list_readable_ = true;
+    bool isolated_ = false;
+    int leases_ = 0;
     ports outside_;
     std::vector<row_committer> committers_;
     std::unique_ptr<leadership> leadership_;
