Measure the delay of the control thread, the store and calls to workers

In the incident of tasks run twice the metrics could not tell a leader that was short of processor from workers that did not answer.

Histograms now show how late the control thread runs events and timers, and the time of commits at the store; a counter shows the leader's calls to workers by kind and outcome, through references that are kept, since a look-up makes its labels anew.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -10,6 +10,7 @@
 #include <coltsfootrack/daemon/metrics.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -136,8 +137,21 @@
     void look_at(const base::worker_id& id);
     std::chrono::milliseconds renewal_wait() const;
     void on_renewed(const base::worker_id& id, const renewal_result& result);
-    void note_outcome(fleet::order_outcome outcome,
+    // The calls to workers, for the metrics.
+    enum class call_kind
+    {
+        start,
+        stop,
+        pace,
+        renewal,
+        look
+    };
+
+    void note_outcome(call_kind call, fleet::order_outcome outcome,
                       const base::worker_id& worker);
+    void register_counts();
+    void count_workers();
+    void clear_counts();
     void lose(const std::string& reason);
     std::function<void()> guarded(std::function<void()> action) const;
 
@@ -151,6 +165,9 @@
     const ports& outside_;
     const job_table& table_;
     daemon::metrics& metrics_;
+    // By call and outcome.
+    std::array<std::array<prometheus::Counter*, fleet::order_outcome_count>, 5>
+        worker_calls_{};
     hooks hooks_;
     fleet::fleet fleet_;
     std::size_t parts_loaded_ = 0;
--- a/include/coltsfootrack/daemon/control_loop.hpp
+++ b/include/coltsfootrack/daemon/control_loop.hpp
@@ -37,6 +37,11 @@
 
     control_loop(const base::clock& clock, std::size_t capacity);
 
+    // Is told how late each event and each timer is run, on the control
+    // thread. To be set before the loop runs.
+    using delay_observer = std::function<void(bool timer, base::duration)>;
+    void observe_delays(delay_observer observer);
+
     // Queues an event of an operation that has already been admitted.
     void post(event action);
 
@@ -67,13 +72,20 @@
 
     using timer_key = std::pair<base::time_point, std::uint64_t>;
 
+    struct queued_event
+    {
+        event action;
+        base::time_point posted;
+    };
+
     bool run_due_timer();
 
     const base::clock& clock_;
     const std::size_t capacity_;
     mutable std::mutex mutex_;
     std::condition_variable wake_;
-    std::deque<event> queue_;
+    delay_observer observer_;
+    std::deque<queued_event> queue_;
     std::map<timer_key, timer> timers_;
     std::uint64_t next_timer_ = 0;
     base::duration busy_{0};
--- a/include/coltsfootrack/daemon/metrics.hpp
+++ b/include/coltsfootrack/daemon/metrics.hpp
@@ -11,6 +11,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <string>
+#include <string_view>
 
 namespace coltsfootrack::daemon
 {
@@ -37,6 +38,17 @@
     // Sets a value by name, for example "owner_epoch".
     void set_value(const std::string& name, double value);
 
+    // The counter of calls to workers of a kind, for example "start", that
+    // came to an outcome. To be kept, since each look-up makes its labels.
+    prometheus::Counter& worker_calls(std::string_view call,
+                                      std::string_view outcome);
+
+    // Records how late the control thread ran an event or a timer, in seconds.
+    void observe_delay(bool timer, double seconds);
+
+    // Records the time of one transaction at the store, in seconds.
+    void observe_store(double seconds);
+
     // Records the time from submission to the start of a task, in seconds.
     void observe_wait(bool urgent, double seconds);
 
@@ -53,11 +65,15 @@
     std::shared_ptr<prometheus::Registry> registry_;
     prometheus::Family<prometheus::Counter>& events_;
     prometheus::Family<prometheus::Gauge>& values_;
+    prometheus::Family<prometheus::Counter>& worker_calls_;
     counter_table refusals_{};
     counter_table retries_{};
     prometheus::Histogram* wait_ = nullptr;
     prometheus::Histogram* wait_urgent_ = nullptr;
     prometheus::Histogram* request_ = nullptr;
+    prometheus::Histogram* event_delay_ = nullptr;
+    prometheus::Histogram* timer_delay_ = nullptr;
+    prometheus::Histogram* store_ = nullptr;
 };
 
 } // namespace coltsfootrack::daemon
--- a/include/coltsfootrack/fleet/order_outcome.hpp
+++ b/include/coltsfootrack/fleet/order_outcome.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_FLEET_ORDER_OUTCOME_HPP_INCLUDED
 #define COLTSFOOTRACK_FLEET_ORDER_OUTCOME_HPP_INCLUDED
 
+#include <cstddef>
 #include <string_view>
 
 namespace coltsfootrack::fleet
@@ -30,6 +31,8 @@
     unknown
 };
 
+constexpr std::size_t order_outcome_count = 10;
+
 // The name in log lines and metrics, for example "bad_ticket".
 std::string_view name_of(order_outcome outcome);
 
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -43,6 +43,12 @@
     , catch_up_(options.behind_time, options.catalogue_retry)
 {
     leader_ports_.workers = relay_.port();
+    loop_.observe_delays(
+        [this](bool timer, base::duration delay)
+        {
+            metrics_.observe_delay(
+                timer, std::chrono::duration<double>(delay).count());
+        });
 }
 
 cell_daemon::~cell_daemon()
@@ -219,6 +225,9 @@
                         const bool answered =
                             result.status == transaction_status::committed ||
                             result.status == transaction_status::conflict;
+                        metrics_.observe_store(
+                            std::chrono::duration<double>(clock_.now() - now)
+                                .count());
                         note_store(answered, std::chrono::duration_cast<
                                                  std::chrono::milliseconds>(
                                                  clock_.now() - now));
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -2,7 +2,6 @@
 // takeover is in leadership_takeover.cpp.
 
 #include <coltsfootrack/base/log.hpp>
-#include <coltsfootrack/base/log_list.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
 
 #include <algorithm>
@@ -50,11 +49,13 @@
     , removing_(table.parts(), false)
     , alive_(std::make_shared<bool>(true))
 {
+    register_counts();
 }
 
 leadership::~leadership()
 {
     log_starts(unconfirmed_, true);
+    clear_counts();
 }
 
 std::function<void()> leadership::guarded(std::function<void()> action) const
@@ -207,7 +208,7 @@
                 {
                     note_unconfirmed({task, run, worker, outcome});
                 }
-                note_outcome(outcome, worker);
+                note_outcome(call_kind::start, outcome, worker);
                 fleet_.on_start(worker, task, run, outcome, clock_.now());
                 if (outcome == fleet::order_outcome::unknown)
                 {
@@ -220,43 +221,6 @@
             }));
 }
 
-void leadership::note_unconfirmed(ordered_start start)
-{
-    if (unconfirmed_.empty())
-    {
-        // The outcomes that wait already are handled before.
-        loop_.post(guarded([this] { log_starts(unconfirmed_, true); }));
-    }
-    unconfirmed_.push_back(std::move(start));
-}
-
-// Writes a line for each step, so that a burst of starts costs few lines, and
-// empties the list.
-void leadership::log_starts(std::vector<ordered_start>& starts, bool outcomes)
-{
-    std::stable_sort(starts.begin(), starts.end(),
-                     [](const ordered_start& a, const ordered_start& b)
-                     { return a.task.step < b.task.step; });
-    const char* const event =
-        outcomes ? "Starts not confirmed" : "Starts ordered";
-    for (auto first = starts.begin(); first != starts.end();)
-    {
-        const jobs::step_key step = first->task.step;
-        base::log_list line(
-            base::log_level::info, log_part,
-            fmt::format("{}. job={} occurrence={} step={} starts=", event,
-                        step.job.text(), step.occurrence, step.step));
-        for (; first != starts.end() && first->task.step == step; ++first)
-        {
-            line.add("{}:{}@{}{}{}", first->task.index, first->run,
-                     first->worker.text(), outcomes ? ":" : "",
-                     outcomes ? fleet::name_of(first->outcome)
-                              : std::string_view());
-        }
-    }
-    starts.clear();
-}
-
 void leadership::carry_out(const fleet::stop_order& next)
 {
     const auto found = fleet_.workers().find(next.worker);
@@ -265,19 +229,19 @@
         return;
     }
     metrics_.count_event("task_stop_ordered");
-    outside_.workers.stop(found->second.listing, epoch(), next,
-                          posted<fleet::order_outcome>(
-                              [this, worker = next.worker, task = next.task,
-                               run = next.run](fleet::order_outcome outcome)
-                              {
-                                  note_outcome(outcome, worker);
-                                  fleet_.on_stop(worker, task, run, outcome,
-                                                 clock_.now());
-                                  if (fleet_.has_open_start(worker))
-                                  {
-                                      look_at(worker);
-                                  }
-                              }));
+    outside_.workers.stop(
+        found->second.listing, epoch(), next,
+        posted<fleet::order_outcome>(
+            [this, worker = next.worker, task = next.task,
+             run = next.run](fleet::order_outcome outcome)
+            {
+                note_outcome(call_kind::stop, outcome, worker);
+                fleet_.on_stop(worker, task, run, outcome, clock_.now());
+                if (fleet_.has_open_start(worker))
+                {
+                    look_at(worker);
+                }
+            }));
 }
 
 void leadership::carry_out(const fleet::pace_order& next)
@@ -292,7 +256,7 @@
         found->second.listing, epoch(), next,
         posted<fleet::order_outcome>(
             [this, worker = next.worker](fleet::order_outcome outcome)
-            { note_outcome(outcome, worker); }));
+            { note_outcome(call_kind::pace, outcome, worker); }));
 }
 
 void leadership::carry_out(const fleet::ticket_order& next)
@@ -426,7 +390,7 @@
             [this, id, now](renewal_result result)
             {
                 renewals_[id].looking = false;
-                note_outcome(result.outcome, id);
+                note_outcome(call_kind::look, result.outcome, id);
                 if (result.outcome == fleet::order_outcome::carried_out)
                 {
                     result.report.sent_at = now;
@@ -442,7 +406,7 @@
     renewal& state = renewals_[id];
     state.in_flight = false;
     const base::time_point now = clock_.now();
-    note_outcome(result.outcome, id);
+    note_outcome(call_kind::renewal, result.outcome, id);
     if (result.outcome != fleet::order_outcome::carried_out)
     {
         if (result.outcome == fleet::order_outcome::other_worker)
@@ -462,13 +426,4 @@
     request_step();
 }
 
-void leadership::note_outcome(fleet::order_outcome outcome,
-                              const base::worker_id& worker)
-{
-    if (outcome == fleet::order_outcome::fenced)
-    {
-        lose("worker " + worker.text() + " has seen a higher epoch");
-    }
-}
-
 } // namespace coltsfootrack::cell
--- /dev/null
+++ b/src/cell/leadership_reporting.cpp
@@ -0,0 +1,109 @@
+// What the logs and the metrics tell of a leader's orders.
+
+#include <coltsfootrack/base/log_list.hpp>
+#include <coltsfootrack/cell/leadership.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fmt/format.h>
+#include <string_view>
+
+namespace coltsfootrack::cell
+{
+namespace
+{
+
+constexpr std::string_view log_part = "leader";
+
+// The workers are counted for the metrics so often: it costs a pass over all of
+// them.
+constexpr std::chrono::seconds count_period{1};
+
+// By call_kind.
+constexpr std::array<std::string_view, 5> call_names = {"start", "stop", "pace",
+                                                        "renewal", "look"};
+
+} // namespace
+
+void leadership::register_counts()
+{
+    for (std::size_t call = 0; call < call_names.size(); ++call)
+    {
+        for (std::size_t i = 0; i < fleet::order_outcome_count; ++i)
+        {
+            worker_calls_[call][i] = &metrics_.worker_calls(
+                call_names[call],
+                fleet::name_of(static_cast<fleet::order_outcome>(i)));
+        }
+    }
+    loop_.after(count_period, guarded([this] { count_workers(); }));
+}
+
+void leadership::count_workers()
+{
+    const auto& workers = fleet_.workers();
+    metrics_.set_value("workers_known", static_cast<double>(workers.size()));
+    metrics_.set_value("workers_silent", static_cast<double>(std::count_if(
+                                             workers.begin(), workers.end(),
+                                             [](const auto& entry)
+                                             { return entry.second.silent; })));
+    loop_.after(count_period, guarded([this] { count_workers(); }));
+}
+
+// A daemon that does not lead any more knows of no workers.
+void leadership::clear_counts()
+{
+    metrics_.set_value("workers_known", 0);
+    metrics_.set_value("workers_silent", 0);
+}
+
+void leadership::note_outcome(call_kind call, fleet::order_outcome outcome,
+                              const base::worker_id& worker)
+{
+    worker_calls_[static_cast<std::size_t>(call)]
+                 [static_cast<std::size_t>(outcome)]
+                     ->Increment();
+    if (outcome == fleet::order_outcome::fenced)
+    {
+        lose("worker " + worker.text() + " has seen a higher epoch");
+    }
+}
+
+void leadership::note_unconfirmed(ordered_start start)
+{
+    if (unconfirmed_.empty())
+    {
+        // The outcomes that wait already are handled before.
+        loop_.post(guarded([this] { log_starts(unconfirmed_, true); }));
+    }
+    unconfirmed_.push_back(std::move(start));
+}
+
+// Writes a line for each step, so that a burst of starts costs few lines, and
+// empties the list.
+void leadership::log_starts(std::vector<ordered_start>& starts, bool outcomes)
+{
+    std::stable_sort(starts.begin(), starts.end(),
+                     [](const ordered_start& a, const ordered_start& b)
+                     { return a.task.step < b.task.step; });
+    const char* const event =
+        outcomes ? "Starts not confirmed" : "Starts ordered";
+    for (auto first = starts.begin(); first != starts.end();)
+    {
+        const jobs::step_key step = first->task.step;
+        base::log_list line(
+            base::log_level::info, log_part,
+            fmt::format("{}. job={} occurrence={} step={} starts=", event,
+                        step.job.text(), step.occurrence, step.step));
+        for (; first != starts.end() && first->task.step == step; ++first)
+        {
+            line.add("{}:{}@{}{}{}", first->task.index, first->run,
+                     first->worker.text(), outcomes ? ":" : "",
+                     outcomes ? fleet::name_of(first->outcome)
+                              : std::string_view());
+        }
+    }
+    starts.clear();
+}
+
+} // namespace coltsfootrack::cell
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -35,11 +35,16 @@
 {
 }
 
+void control_loop::observe_delays(delay_observer observer)
+{
+    observer_ = std::move(observer);
+}
+
 void control_loop::post(event action)
 {
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        queue_.push_back(std::move(action));
+        queue_.push_back({std::move(action), clock_.now()});
     }
     wake_.notify_one();
 }
@@ -52,7 +57,7 @@
         {
             return false;
         }
-        queue_.push_back(std::move(action));
+        queue_.push_back({std::move(action), clock_.now()});
     }
     wake_.notify_one();
     return true;
@@ -77,16 +82,22 @@
 bool control_loop::run_due_timer()
 {
     timer due;
+    base::time_point due_at;
     {
         const std::lock_guard<std::mutex> lock(mutex_);
         if (timers_.empty() || timers_.begin()->first.first > clock_.now())
         {
             return false;
         }
+        due_at = timers_.begin()->first.first;
         due = std::move(timers_.begin()->second);
         timers_.erase(timers_.begin());
     }
     const auto start = clock_.now();
+    if (observer_)
+    {
+        observer_(true, start - due_at);
+    }
     run_event(due.action);
     const auto end = clock_.now();
     const std::lock_guard<std::mutex> lock(mutex_);
@@ -106,7 +117,7 @@
         while (run_due_timer())
         {
         }
-        event action;
+        queued_event next;
         {
             std::unique_lock<std::mutex> lock(mutex_);
             if (stopped_)
@@ -128,11 +139,15 @@
                 }
                 continue;
             }
-            action = std::move(queue_.front());
+            next = std::move(queue_.front());
             queue_.pop_front();
         }
         const auto start = clock_.now();
-        run_event(action);
+        if (observer_)
+        {
+            observer_(false, start - next.posted);
+        }
+        run_event(next.action);
         const auto end = clock_.now();
         const std::lock_guard<std::mutex> lock(mutex_);
         busy_ += end - start;
--- a/src/daemon/metrics.cpp
+++ b/src/daemon/metrics.cpp
@@ -31,6 +31,9 @@
                   .Name("coltsfootrack_value")
                   .Help("Values by name.")
                   .Register(*registry_))
+    , worker_calls_(make_counters(*registry_,
+                                  "coltsfootrack_worker_calls_total",
+                                  "Calls to workers by kind and outcome."))
 {
     auto& refusals = make_counters(*registry_, "coltsfootrack_refusals_total",
                                    "Refusals by reason.");
@@ -54,6 +57,19 @@
                     .Help("Time of a request from arrival to answer.")
                     .Register(*registry_)
                     .Add({}, request_buckets);
+    auto& delays = prometheus::BuildHistogram()
+                       .Name("coltsfootrack_control_delay_seconds")
+                       .Help("Time that an event waited for the control "
+                             "thread, and that a timer was late.")
+                       .Register(*registry_);
+    event_delay_ = &delays.Add({{"of", "event"}}, request_buckets);
+    timer_delay_ = &delays.Add({{"of", "timer"}}, request_buckets);
+    store_ = &prometheus::BuildHistogram()
+                  .Name("coltsfootrack_store_seconds")
+                  .Help("Time of a transaction at the store until the control "
+                        "thread handles its answer.")
+                  .Register(*registry_)
+                  .Add({}, request_buckets);
 }
 
 void metrics::count_refusal(base::error_kind reason)
@@ -76,6 +92,23 @@
     values_.Add({{"name", name}}).Set(value);
 }
 
+prometheus::Counter& metrics::worker_calls(std::string_view call,
+                                           std::string_view outcome)
+{
+    return worker_calls_.Add(
+        {{"call", std::string(call)}, {"outcome", std::string(outcome)}});
+}
+
+void metrics::observe_delay(bool timer, double seconds)
+{
+    (timer ? timer_delay_ : event_delay_)->Observe(seconds);
+}
+
+void metrics::observe_store(double seconds)
+{
+    store_->Observe(seconds);
+}
+
 void metrics::observe_wait(bool urgent, double seconds)
 {
     (urgent ? wait_urgent_ : wait_)->Observe(seconds);
--- a/src/fleet/order_outcome.cpp
+++ b/src/fleet/order_outcome.cpp
@@ -10,7 +10,7 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 10> names = {
+constexpr std::array<std::string_view, order_outcome_count> names = {
     "carried_out", "fenced",       "old_run",   "late",    "no_room",
     "bad_ticket",  "other_worker", "unhealthy", "refused", "unknown"};
 
