--- a/test/standins/cluster/cell_cluster.cpp
+++ b/test/standins/cluster/cell_cluster.cpp
@@ -25,6 +25,10 @@
 // Callers wait this long for an answer.
 constexpr milliseconds call_limit{3000};
 
+// The stand-in answers late while an overloaded cell calls hundreds of its
+// workers; facts in an answer that was given up would be lost.
+constexpr milliseconds control_limit{30000};
+
 http::client_options client_options()
 {
     http::client_options options;
@@ -169,7 +173,7 @@
     request.body = body.dump();
     const http::client_result result = client_.send(
         fmt::format("{}:{}", loopback, ports_.at("control").get<int>()),
-        request);
+        request, control_limit);
     if (!result.ok() || result.answer.status != 200)
     {
         throw std::runtime_error("the stand-in refuses " + body.dump());
