Keep starts that may have reached the new life of a worker

Cause: on the first report of a new life all runs of the worker counted as lost with the former one. The report had been made right after the restart and came 0.5 s late, over a peer whose frames were held up; the worker had carried out starts since, and their tasks were started again elsewhere.

A run now counts as lost with a former life only if it was listed before, or its start was confirmed before the report was asked for. Any other is uncertain: it is found in the next list, or stopped first.

start_that_reached_the_new_life_is_not_given_up is new. restarted_worker_has_... lets a millisecond pass between the confirmation and the report, since a report asked for at the same moment no longer says that the run was lost.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -202,6 +202,8 @@
     void measure_stray(worker_record& worker, const jobs::task_key& task,
                        active_run& run);
     run_map::iterator drop_run(worker_record& worker, run_map::iterator run);
+    void lose_former_life(worker_record& worker, const worker_report& report,
+                          base::time_point now);
     void lose_all(worker_record& worker);
     void read_running(worker_record& worker, const worker_report& report,
                       base::time_point now);
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -38,7 +38,7 @@
         base::log(base::log_level::warning, log_part,
                   "Worker was restarted. worker={} life={} runs_lost={}",
                   id.text(), report.life, worker.runs.size());
-        lose_all(worker);
+        lose_former_life(worker, report, now);
         worker.lease.reset();
         worker.ends.clear();
         worker.ends_seen = 0;
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -112,6 +112,36 @@
     }
 }
 
+// Drops the runs of the former life of a worker. A start that was not confirmed
+// before the report was asked for may have reached the new life, after it made
+// the report.
+void fleet::lose_former_life(worker_record& worker, const worker_report& report,
+                             base::time_point now)
+{
+    for (auto it = worker.runs.begin(); it != worker.runs.end();)
+    {
+        active_run& run = it->second;
+        const bool confirmed = run.phase != run_phase::starting &&
+                               !run.start_open && run.known_at < report.sent_at;
+        if (confirmed || run.listed_in > 0)
+        {
+            it = drop_run(worker, it);
+            continue;
+        }
+        run.start_open = true;
+        run.known_at = now;
+        if (run.phase == run_phase::stopping)
+        {
+            run.stop_done = false;
+        }
+        else
+        {
+            run.phase = run_phase::uncertain;
+        }
+        ++it;
+    }
+}
+
 void fleet::request_stop(worker_record& worker, active_run& run)
 {
     if (run.phase != run_phase::stopping)
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(leaving_worker_gets_no_task);
     CPPUNIT_TEST(restarted_worker_has_lost_its_runs);
     CPPUNIT_TEST(worker_restarted_before_its_ends_were_read_counts_anew);
+    CPPUNIT_TEST(start_that_reached_the_new_life_is_not_given_up);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -345,6 +346,32 @@
         CPPUNIT_ASSERT(f.starts.empty());
     }
 
+    // Guards against two runs of a task: the worker starts again, makes a
+    // report, carries the start out, and the report comes late.
+    void start_that_reached_the_new_life_is_not_given_up()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        const base::time_point asked = f.now_;
+        f.pass(milliseconds(100));
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.step();
+        f.confirm_starts();
+        f.add_ready_worker("v", 1000);
+        f.pass(milliseconds(500));
+        worker_report late;
+        late.life = 2;
+        late.sent_at = asked;
+        f.fleet_.on_report(base::worker_id("w"), late, f.now_);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.pass(milliseconds(50));
+        f.report("w", {running(fleet_fixture::task("a", 0), 1)}, {}, 2);
+        f.step();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        CPPUNIT_ASSERT(f.stops.empty());
+    }
+
     // Guards against an end that is taken for one of the former life of a
     // worker, which an end of an unknown job kept from counting as known.
     void worker_restarted_before_its_ends_were_read_counts_anew()
@@ -382,6 +409,8 @@
         f.add_job("a", {fleet_fixture::step(1, 1000)});
         f.step();
         f.confirm_starts();
+        // The report is asked for after the confirmation.
+        f.pass(milliseconds(1));
         f.report("w", {}, {}, 2);
         f.step();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
