--- a/test/soak/starved_main.cpp
+++ b/test/soak/starved_main.cpp
@@ -3,8 +3,9 @@
 // other fault is near, so each listed end counts, however late the leader reads
 // it.
 //
-// The load, the shares and the pauses follow from the seed; the timing of
-// processes does not, so a seed that failed may need several runs.
+// The load follows from the seed, the share and the slices from the options;
+// the timing of processes follows from neither, so a seed that failed may need
+// several runs.
 
 #include "process_usage.hpp"
 #include "standins/cluster/cell_cluster.hpp"
@@ -145,6 +146,7 @@
     int leader()
     {
         std::vector<double> used;
+        used.reserve(static_cast<std::size_t>(cluster_.daemons()));
         for (int i = 0; i < cluster_.daemons(); ++i)
         {
             used.push_back(
