Refuse entries of other writers that name no usable worker

Cause: an entry of the workers' list was taken as it came. A port of 99999, an empty id or a negative capacity gave a worker that could never be called, that held back the jobs of a former leader until its lease had expired, and whose id, if empty, made peers close the connection over which it was relayed. Amounts beyond the range of an integer were converted without a check, which is undefined; so were times and amounts of jobs.

The check of addresses is shared with the HTTP clients.

--- a/src/http/transfer.cpp
+++ b/src/http/transfer.cpp
@@ -4,13 +4,11 @@
 #include "transfer.hpp"
 
 #include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/http/numeric_address.hpp>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
 #include <algorithm>
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <string_view>
 
 namespace coltsfootrack::http
@@ -30,7 +28,7 @@
                 int /*remote_port*/, int /*local_port*/)
 {
     auto& current = *static_cast<transfer*>(context);
-    if (current.send_attempts > 0)
+    if (current.send_attempts > 0 || (current.may_send && !current.may_send()))
     {
         return CURL_PREREQFUNC_ABORT;
     }
@@ -89,17 +87,6 @@
                                         });
 }
 
-bool is_numeric_address(const std::string& address)
-{
-    const std::size_t colon = address.rfind(':');
-    std::uint32_t port = 0;
-    in_addr parsed{};
-    return colon != std::string::npos &&
-           absl::SimpleAtoi(address.substr(colon + 1), &port) && port > 0 &&
-           port <= 65535 &&
-           inet_pton(AF_INET, address.substr(0, colon).c_str(), &parsed) == 1;
-}
-
 bool is_path(const std::string& path)
 {
     return !path.empty() && path.front() == '/' &&
--- a/src/http/transfer.hpp
+++ b/src/http/transfer.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <curl/curl.h>
+#include <functional>
 #include <string>
 
 namespace coltsfootrack::http
@@ -23,6 +24,8 @@
     int send_attempts = 0;
     std::chrono::steady_clock::time_point sent_at;
     bool too_large = false;
+    // Asked right before the request is sent; empty for no condition.
+    std::function<bool()> may_send;
     response answer;
 };
 
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -5,9 +5,12 @@
 
 #include <coltsfootrack/base/error_kind.hpp>
 #include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/http/numeric_address.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 #include <string>
 #include <vector>
 
@@ -75,6 +78,54 @@
     return document;
 }
 
+// A document with a few random changes: bytes replaced or removed, or a number,
+// text or nesting put in place of one.
+std::string mutated(std::string text)
+{
+    const std::vector<std::string> pieces = {std::string(400, '9'),
+                                             "1e300",
+                                             "-1e300",
+                                             "-1",
+                                             "9223372036854775808",
+                                             "0",
+                                             "\"\"",
+                                             "\"\xff\"",
+                                             "null",
+                                             "[[[[[]]]]]",
+                                             "{}",
+                                             "\"10.0.0.1:99999\"",
+                                             "true",
+                                             "1.5",
+                                             ",",
+                                             "\"a\":"};
+    const int changes = *rc::gen::inRange(1, 4);
+    for (int i = 0; i < changes && !text.empty(); ++i)
+    {
+        const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+        switch (*rc::gen::inRange(0, 3))
+        {
+        case 0:
+            text[at] = *rc::gen::arbitrary<char>();
+            break;
+        case 1:
+            text.erase(at, *rc::gen::inRange<std::size_t>(1, 9));
+            break;
+        default:
+        {
+            // In place of a value, so that the document often stays valid.
+            const std::size_t begin = text.find(':', at);
+            const std::size_t end = text.find_first_of(",}]", begin);
+            if (begin != std::string::npos && end != std::string::npos)
+            {
+                text.replace(begin + 1, end - begin - 1,
+                             *rc::gen::elementOf(pieces));
+            }
+        }
+        }
+    }
+    return text;
+}
+
 } // namespace
 
 class documents_test : public CppUnit::TestFixture
@@ -84,6 +135,12 @@
     CPPUNIT_TEST(listing_draining_is_leaving);
     CPPUNIT_TEST(listing_invalid_field_is_an_error);
     CPPUNIT_TEST(listing_malformed_text_is_an_error);
+    CPPUNIT_TEST(listing_unusable_id_is_an_error);
+    CPPUNIT_TEST(listing_nested_deeply_is_an_error);
+    CPPUNIT_TEST(listing_numbers_of_400_digits_are_an_error);
+    CPPUNIT_TEST(listing_any_mutation_is_read_or_an_error);
+    CPPUNIT_TEST(job_number_out_of_range_is_an_error);
+    CPPUNIT_TEST(job_any_mutation_is_read_or_an_error);
     CPPUNIT_TEST(catalogue_valid_sets_every_field);
     CPPUNIT_TEST(catalogue_invalid_route_is_skipped);
     CPPUNIT_TEST(catalogue_invalid_required_field_is_an_error);
@@ -140,6 +197,24 @@
             {"/capacity/cpu", "many"},
             {"/capacity/mem_mb", nullptr},
             {"/capacity/gpus", "two"},
+            {"/address", ""},
+            {"/address", "10.0.0.1"},
+            {"/address", "10.0.0.1:"},
+            {"/address", "10.0.0.1:0"},
+            {"/address", "10.0.0.1:65536"},
+            {"/address", "10.0.0.1:99999"},
+            {"/address", "10.0.0.1:-1"},
+            {"/address", "10.0.0.1: 80"},
+            {"/address", "host.example:80"},
+            {"/address", std::string("10.0.0.1\0:80", 12)},
+            {"/service", ""},
+            {"/zone", ""},
+            {"/capacity/cpu", -1},
+            {"/capacity/cpu", 1e300},
+            {"/capacity/cpu", 1e19},
+            {"/capacity/cpu", std::numeric_limits<std::uint64_t>::max()},
+            {"/capacity/mem_mb", -1e300},
+            {"/capacity/gpus", -8},
             {"/labels", nullptr},
             {"/labels", "a"},
             {"/labels", json::array({1, 2})}};
@@ -160,6 +235,108 @@
         }
     }
 
+    // An id without a character cannot be sent to a peer.
+    void listing_unusable_id_is_an_error()
+    {
+        for (const std::string& id :
+             {std::string(), std::string(201, 'a'), std::string("a\r\nb"),
+              std::string("a b"), std::string("\xff"), std::string(1, '\0')})
+        {
+            CPPUNIT_ASSERT(!read_listing(id, valid_listing().dump()).ok());
+        }
+        CPPUNIT_ASSERT(
+            read_listing(std::string(200, 'a'), valid_listing().dump()).ok());
+    }
+
+    // Guards against a parser or a destructor that uses the stack.
+    void listing_nested_deeply_is_an_error()
+    {
+        constexpr std::size_t depth = 100000;
+        const std::string arrays =
+            std::string(depth, '[') + std::string(depth, ']');
+        std::string objects;
+        for (std::size_t i = 0; i < depth; ++i)
+        {
+            objects += "{\"capacity\":";
+        }
+        objects += "1" + std::string(depth, '}');
+        std::string listing = valid_listing().dump();
+        listing.insert(1, "\"other\":" + arrays + ",");
+        CPPUNIT_ASSERT(!read_listing("i-1", arrays).ok());
+        CPPUNIT_ASSERT(!read_listing("i-1", objects).ok());
+        CPPUNIT_ASSERT(!read_listing("i-1", std::string(depth, '[')).ok());
+        CPPUNIT_ASSERT(!read_job(arrays).ok());
+        CPPUNIT_ASSERT(!read_catalogue(objects).ok());
+        // A field that is not used does no harm.
+        CPPUNIT_ASSERT(read_listing("i-1", listing).ok());
+    }
+
+    void listing_numbers_of_400_digits_are_an_error()
+    {
+        std::string listing = valid_listing().dump();
+        const std::size_t at = listing.find("16000");
+        listing.replace(at, 5, std::string(400, '9'));
+        CPPUNIT_ASSERT(!read_listing("i-1", listing).ok());
+    }
+
+    // Whatever another writer leaves, reading it ends with a listing that can
+    // be used or with an error.
+    void listing_any_mutation_is_read_or_an_error()
+    {
+        const bool holds = rc::check(
+            [](std::uint64_t)
+            {
+                const auto listing =
+                    read_listing("i-1", mutated(valid_listing().dump()));
+                if (listing.ok())
+                {
+                    RC_ASSERT(listing->capacity.is_valid());
+                    RC_ASSERT(http::is_numeric_address(listing->address));
+                    RC_ASSERT(!listing->service.empty());
+                }
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void job_any_mutation_is_read_or_an_error()
+    {
+        const bool holds = rc::check(
+            [](std::uint64_t)
+            {
+                const auto job = read_job(mutated(valid_job().dump()));
+                if (job.ok())
+                {
+                    RC_ASSERT(check(*job).ok());
+                    // The times of all occurrences exist.
+                    const auto last =
+                        job->first_due + job->interval * job->repeats;
+                    RC_ASSERT(last >= job->first_due);
+                }
+                static_cast<void>(
+                    read_catalogue(mutated(valid_config().dump())));
+            });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void job_number_out_of_range_is_an_error()
+    {
+        for (const char* path : {"/steps/0/count", "/steps/0/cpu",
+                                 "/steps/0/estimate_ms", "/steps/1/target_ms",
+                                 "/steps/1/may_miss", "/steps/1/max_per_server",
+                                 "/repeat_count", "/first_ms", "/interval_ms"})
+        {
+            for (const json& value :
+                 {json(1e300), json(-1e300), json(9.3e18),
+                  json(std::numeric_limits<std::uint64_t>::max()),
+                  json(std::numeric_limits<std::int64_t>::min())})
+            {
+                const auto job =
+                    read_job(with_change(valid_job(), {path, value}).dump());
+                CPPUNIT_ASSERT_MESSAGE(path, !job.ok());
+            }
+        }
+    }
+
     void catalogue_valid_sets_every_field()
     {
         const auto value = read_catalogue(valid_config().dump());
