--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -31,6 +31,9 @@
     // leader needs the most.
     std::uint32_t processor_milli = 0;
 
+    // The rate of the VM's link, in bytes a second; 0 if unknown.
+    std::uint64_t link_rate = 0;
+
     // The number of parts that jobs are spread over. A part runs the
     // transactions of all daemons one after another, each taking a third of a
     // second while the store is slow, so callers queue if there are few parts.
@@ -67,6 +70,10 @@
     // The pause between two renewals of a worker with ends that are not stored
     // yet.
     milliseconds renewal_pause{250};
+    // A start or renewal that was not sent to the worker within this time is
+    // not sent any more: a daemon that was paused meanwhile no longer knows
+    // whether its worker has restarted and forgotten the run.
+    milliseconds send_limit{600};
     // The minimum time between two scheduling rounds, so that a burst of events
     // shares one.
     milliseconds min_round_interval{8};
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -6,6 +6,7 @@
 #include <coltsfootrack/cell/row_committer.hpp>
 #include <coltsfootrack/cell/row_layout.hpp>
 #include <coltsfootrack/cell/table_follower.hpp>
+#include <coltsfootrack/cell/worker_roster.hpp>
 #include <coltsfootrack/daemon/control_loop.hpp>
 #include <coltsfootrack/daemon/metrics.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
@@ -28,7 +29,9 @@
 //
 // It first writes its epoch into every job part, after which no former leader
 // can store progress there, and only then reads the jobs. Each worker refuses
-// the orders of a former leader once this one has renewed its lease there.
+// the orders of a former leader once this one has renewed its lease there. The
+// workers that a former leader may have used are stored as well: those that the
+// platform no longer lists may still be running tasks.
 //
 // Thread safety: belongs to the control thread.
 class leadership
@@ -121,13 +124,21 @@
     void fence_part(std::size_t part);
     void write_fence(std::size_t part, std::uint64_t version);
     void on_part_fenced(std::size_t part, std::uint64_t version);
-    void load_progress(std::size_t part, const std::string& from);
+    void load_progress();
+    void apply_progress_row(std::size_t part, const stored_row& row);
+    std::int64_t takeover_ms() const;
+    void load_roster(std::size_t part, const stored_row& row);
+    void expect_stored_workers();
     void follow_jobs();
     void follow_workers();
     void add_stored_job(const base::job_id& id, const std::string& row);
     void apply_job_rows(const std::vector<stored_row>& rows);
     void apply_worker_rows(const std::vector<stored_row>& rows,
                            bool is_snapshot);
+    void list_worker(const fleet::worker_listing& listing);
+    void unlist_worker(const base::worker_id& id);
+    void list_stored_workers();
+    void write_roster();
     void run_round();
     void carry_out(const fleet::start_order& order);
     void record_unconfirmed(ordered_start start);
@@ -180,10 +191,15 @@
         worker_calls_{};
     hooks hooks_;
     fleet::fleet fleet_;
-    std::size_t parts_loaded_ = 0;
+    base::time_point begun_at_;
+    std::size_t parts_fenced_ = 0;
+    std::unique_ptr<table_reader> progress_reader_;
     std::map<base::job_id, jobs::job_progress> loaded_progress_;
     std::unique_ptr<table_follower> job_follower_;
     std::unique_ptr<table_follower> worker_follower_;
+    worker_roster roster_;
+    // Listed workers that no stored row names yet; they are not used.
+    std::map<base::worker_id, fleet::worker_listing> unstored_workers_;
     std::map<base::worker_id, renewal_state> renewals_;
     // What daemons stored before the jobs were loaded.
     std::map<base::job_id, std::string> early_jobs_;
--- a/include/coltsfootrack/cell/lease_renewal.hpp
+++ b/include/coltsfootrack/cell/lease_renewal.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_CELL_LEASE_RENEWAL_HPP_INCLUDED
 #define COLTSFOOTRACK_CELL_LEASE_RENEWAL_HPP_INCLUDED
 
+#include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/fleet/order_outcome.hpp>
 #include <coltsfootrack/fleet/worker_report.hpp>
 
@@ -21,6 +22,9 @@
     std::optional<std::chrono::milliseconds> lease_end;
     // How long the worker may hold its answer until a run ends.
     std::chrono::milliseconds wait{0};
+    // The renewal is not sent after this time. Sent late, it could reach the
+    // next life of the worker, whose ends have the same numbers.
+    base::time_point send_by = base::time_point::max();
     // The leader calls the worker itself, not through a peer, so that a missing
     // answer is due to the worker.
     bool direct = false;
--- a/include/coltsfootrack/cell/row_layout.hpp
+++ b/include/coltsfootrack/cell/row_layout.hpp
@@ -22,6 +22,7 @@
 // | jobs     | job part   | ID          | the daemon that accepted the job    |
 // | jobs     | job part   | ID!         | the daemon that accepted the cancel |
 // | progress | job part   | ID          | the leader, if the fence is its own |
+// | progress | job part   | !workers    | the same; see worker_roster         |
 class row_layout
 {
 public:
@@ -29,6 +30,7 @@
     static constexpr const char* jobs_table = "jobs";
     static constexpr const char* progress_table = "progress";
     static constexpr const char* daemon_prefix = "daemon/";
+    static constexpr const char* roster_key = "!workers";
 
     explicit row_layout(std::size_t parts);
 
@@ -52,6 +54,7 @@
     row_id job(const base::job_id& id) const;
     row_id cancel(const base::job_id& id) const;
     row_id progress(const base::job_id& id) const;
+    row_id roster(std::size_t part) const;
 
     // The job that a key of the jobs table cancels; nullopt for other keys.
     static std::optional<base::job_id> cancelled_job(const std::string& key);
--- a/include/coltsfootrack/cell/store_port.hpp
+++ b/include/coltsfootrack/cell/store_port.hpp
@@ -6,6 +6,7 @@
 #include <coltsfootrack/cell/transaction_result.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -22,9 +23,12 @@
 
     std::function<void(const transaction&, transaction_callback)> transact;
 
-    // Reads the rows of a table and part from a key on (empty: from the first).
+    // Reads at most `limit` rows of a table and part from a key on (empty: from
+    // the first). Fails only if no answer begins, or one stops arriving: it may
+    // take long on a thin link.
     std::function<void(const std::string& table, const std::string& part,
-                       const std::string& from, read_callback)>
+                       const std::string& from, std::size_t limit,
+                       read_callback)>
         read;
 
     // Reads one row.
--- a/include/coltsfootrack/cell/table_follower.hpp
+++ b/include/coltsfootrack/cell/table_follower.hpp
@@ -1,7 +1,9 @@
 #ifndef COLTSFOOTRACK_CELL_TABLE_FOLLOWER_HPP_INCLUDED
 #define COLTSFOOTRACK_CELL_TABLE_FOLLOWER_HPP_INCLUDED
 
+#include <coltsfootrack/cell/page_budget.hpp>
 #include <coltsfootrack/cell/store_port.hpp>
+#include <coltsfootrack/cell/table_reader.hpp>
 #include <coltsfootrack/daemon/control_loop.hpp>
 
 #include <chrono>
@@ -15,7 +17,8 @@
 namespace coltsfootrack::cell
 {
 
-// Follows one table: reads all of it, then its changes. Reads all of it again
+// Follows one table: reads all of it (see table_reader), then its changes.
+// Reads all of it again
 // when the store no longer keeps the changes.
 //
 // Thread safety: belongs to the control thread; the store's answers are posted
@@ -35,15 +38,15 @@
 
     table_follower(daemon::control_loop& loop, const store_port& store,
                    std::string table, std::vector<std::string> parts,
-                   std::chrono::milliseconds wait,
+                   page_budget budget, std::chrono::milliseconds wait,
                    std::chrono::milliseconds pause, hooks callbacks);
 
     // Starts by reading the whole table.
     void start();
 
 private:
-    void read_part(std::size_t part, const std::string& from);
-    void on_page(std::size_t part, const read_result& result);
+    void on_read(std::uint64_t version);
+    void call_hook(const std::function<void()>& hook) const;
     void follow();
     void on_changes_read(const read_result& result);
     void run_after(std::chrono::milliseconds pause,
@@ -56,12 +59,11 @@
     std::chrono::milliseconds wait_;
     std::chrono::milliseconds pause_;
     hooks hooks_;
+    page_budget budget_;
+    // While the whole table is read.
+    std::unique_ptr<table_reader> reader_;
     std::vector<stored_row> rows_;
     std::uint64_t version_ = 0;
-    // The number of the current read of the whole table, and of its parts that
-    // are still to be read.
-    std::uint64_t read_id_ = 0;
-    std::size_t unread_parts_ = 0;
     // The last read of changes failed.
     bool failed_ = false;
     std::shared_ptr<bool> alive_;
--- a/include/coltsfootrack/cell/worker_port.hpp
+++ b/include/coltsfootrack/cell/worker_port.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_CELL_WORKER_PORT_HPP_INCLUDED
 #define COLTSFOOTRACK_CELL_WORKER_PORT_HPP_INCLUDED
 
+#include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/cell/lease_renewal.hpp>
 #include <coltsfootrack/fleet/order.hpp>
 #include <coltsfootrack/fleet/order_outcome.hpp>
@@ -26,10 +27,12 @@
                        std::function<void(renewal_result)>)>
         renew;
 
-    // The last argument is the end of the lease on the worker's clock.
+    // `lease_end` is on the worker's clock. An order that could not be sent by
+    // `send_by` is not sent any more, and is late.
     std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
-                       const fleet::start_order&, std::chrono::milliseconds,
-                       order_callback)>
+                       const fleet::start_order&,
+                       std::chrono::milliseconds lease_end,
+                       base::time_point send_by, order_callback)>
         start;
 
     std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -28,6 +28,11 @@
 // the worker has, have no further effect. If a repeated start is refused, that
 // says nothing about the first one, so the outcome is unknown.
 //
+// A start or renewal that is held up on its way to a peer must not reach the
+// worker after the leader has made it directly: the worker may have restarted
+// since and would not refuse it. So the call tells the peer until when, on the
+// peer's own clock, it may be sent. A peer whose clock is not known gets none.
+//
 // Thread safety: belongs to the control thread. The callbacks of the port run
 // there or on a thread of the direct port.
 class worker_relay
@@ -64,6 +69,10 @@
     // Whether a peer is being stopped; it then gets no new calls.
     void on_stopping(const base::daemon_id& peer, bool stopping);
 
+    // The clock of a peer as its last status gives it, see to_peer_time.
+    void on_clock(const base::daemon_id& peer,
+                  std::optional<std::chrono::milliseconds> clock);
+
     void on_answer(const wire::worker_answer& answer);
 
     // Makes the calls directly that were not answered in time. To be called
@@ -89,6 +98,9 @@
         base::zone_id zone;
         bool stopping = false;
         base::time_point backoff_until;
+        // Its clock, and when this daemon learned of it.
+        std::optional<std::chrono::milliseconds> clock;
+        base::time_point clock_at;
     };
 
     struct pending_call
@@ -102,14 +114,17 @@
         std::function<bool(const wire::worker_answer&)> answer;
     };
 
+    static std::chrono::milliseconds on_clock_of(const peer_state& peer,
+                                                 base::time_point time);
     std::optional<base::daemon_id>
     peer_for(const fleet::worker_listing& worker) const;
     void relay(const fleet::worker_listing& worker, wire::worker_call call,
-               std::chrono::milliseconds limit, direct_call direct,
+               std::chrono::milliseconds limit, base::time_point send_by,
+               direct_call direct,
                std::function<bool(const wire::worker_answer&)> answer);
     void relay_order(const fleet::worker_listing& worker,
-                     wire::worker_call call, direct_call direct,
-                     worker_port::order_callback done);
+                     wire::worker_call call, base::time_point send_by,
+                     direct_call direct, worker_port::order_callback done);
     void call_directly(std::uint64_t nonce, bool repeated, const char* reason);
 
     const worker_port& direct_;
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -79,6 +79,11 @@
     // A worker was added to the platform's list, or its entry changed.
     void list_worker(const worker_listing& listing, base::time_point now);
 
+    // Workers that a former leader may have used. Those that are not listed are
+    // kept like workers that have left the list.
+    void expect_workers(const std::vector<worker_listing>& workers,
+                        base::time_point now);
+
     // A worker is no longer on the list. It is kept while it answers and until
     // nothing can be running on it.
     void unlist_worker(const base::worker_id& worker);
--- a/include/coltsfootrack/http/async_client.hpp
+++ b/include/coltsfootrack/http/async_client.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_HTTP_ASYNC_CLIENT_HPP_INCLUDED
 #define COLTSFOOTRACK_HTTP_ASYNC_CLIENT_HPP_INCLUDED
 
+#include <coltsfootrack/http/call_options.hpp>
 #include <coltsfootrack/http/client_options.hpp>
 #include <coltsfootrack/http/client_result.hpp>
 #include <coltsfootrack/http/request.hpp>
@@ -46,6 +47,8 @@
     ~async_client();
 
     // Sends a request to a numeric address with a port.
+    void send(const std::string& address, request message,
+              const call_options& options, callback done);
     void send(const std::string& address, request message,
               std::chrono::milliseconds total_timeout, callback done);
 
--- a/include/coltsfootrack/wire/cell_status.hpp
+++ b/include/coltsfootrack/wire/cell_status.hpp
@@ -32,6 +32,9 @@
     std::uint64_t catalogue_version = 0;
     // The CPU capacity of the sender's VM, in thousandths of a core.
     std::uint32_t processor_milli = 0;
+    // The sender's monotonic clock when it sent the status. Others send it back
+    // plus the time that has passed since; it means nothing else to them.
+    std::optional<std::chrono::milliseconds> clock;
     // Sent by the leader only.
     std::vector<queue_count> queues;
 
@@ -42,7 +45,8 @@
                a.store_age == b.store_age && a.leader_age == b.leader_age &&
                a.store_delay == b.store_delay &&
                a.catalogue_version == b.catalogue_version &&
-               a.queues == b.queues && a.processor_milli == b.processor_milli;
+               a.queues == b.queues && a.processor_milli == b.processor_milli &&
+               a.clock == b.clock;
     }
 
     friend bool operator!=(const cell_status& a, const cell_status& b)
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -1131,7 +1131,8 @@
     VT_STORE_DELAY_MS = 16,
     VT_CATALOGUE_VERSION = 18,
     VT_QUEUES = 20,
-    VT_PROCESSOR_MILLI = 22
+    VT_PROCESSOR_MILLI = 22,
+    VT_CLOCK_MS = 24
   };
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
@@ -1163,6 +1164,9 @@
   uint32_t processor_milli() const {
     return GetField<uint32_t>(VT_PROCESSOR_MILLI, 0);
   }
+  int64_t clock_ms() const {
+    return GetField<int64_t>(VT_CLOCK_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
@@ -1178,6 +1182,7 @@
            verifier.VerifyVector(queues()) &&
            verifier.VerifyVectorOfTables(queues()) &&
            VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
+           VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1216,6 +1221,9 @@
   void add_processor_milli(uint32_t processor_milli) {
     fbb_.AddElement<uint32_t>(CellStatus::VT_PROCESSOR_MILLI, processor_milli, 0);
   }
+  void add_clock_ms(int64_t clock_ms) {
+    fbb_.AddElement<int64_t>(CellStatus::VT_CLOCK_MS, clock_ms, -1LL);
+  }
   explicit CellStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1238,8 +1246,10 @@
     uint32_t store_delay_ms = 0,
     uint64_t catalogue_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues = 0,
-    uint32_t processor_milli = 0) {
+    uint32_t processor_milli = 0,
+    int64_t clock_ms = -1LL) {
   CellStatusBuilder builder_(_fbb);
+  builder_.add_clock_ms(clock_ms);
   builder_.add_catalogue_version(catalogue_version);
   builder_.add_leader_age_ms(leader_age_ms);
   builder_.add_store_age_ms(store_age_ms);
@@ -1264,7 +1274,8 @@
     uint32_t store_delay_ms = 0,
     uint64_t catalogue_version = 0,
     const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues = nullptr,
-    uint32_t processor_milli = 0) {
+    uint32_t processor_milli = 0,
+    int64_t clock_ms = -1LL) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>(*queues) : 0;
   return coltsfootrack::wire::fb::CreateCellStatus(
@@ -1278,7 +1289,8 @@
       store_delay_ms,
       catalogue_version,
       queues__,
-      processor_milli);
+      processor_milli,
+      clock_ms);
 }
 
 struct CatalogueCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2052,7 +2064,8 @@
     VT_LEASE_END_MS = 30,
     VT_ACKNOWLEDGED = 32,
     VT_WAIT_MS = 34,
-    VT_PACE_PERCENT = 36
+    VT_PACE_PERCENT = 36,
+    VT_SEND_BY_MS = 38
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -2105,6 +2118,9 @@
   uint8_t pace_percent() const {
     return GetField<uint8_t>(VT_PACE_PERCENT, 0);
   }
+  int64_t send_by_ms() const {
+    return GetField<int64_t>(VT_SEND_BY_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -2130,6 +2146,7 @@
            VerifyField<uint64_t>(verifier, VT_ACKNOWLEDGED, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAIT_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_PACE_PERCENT, 1) &&
+           VerifyField<int64_t>(verifier, VT_SEND_BY_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -2189,6 +2206,9 @@
   void add_pace_percent(uint8_t pace_percent) {
     fbb_.AddElement<uint8_t>(WorkerCall::VT_PACE_PERCENT, pace_percent, 0);
   }
+  void add_send_by_ms(int64_t send_by_ms) {
+    fbb_.AddElement<int64_t>(WorkerCall::VT_SEND_BY_MS, send_by_ms, -1LL);
+  }
   explicit WorkerCallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2220,8 +2240,10 @@
     int64_t lease_end_ms = -1LL,
     uint64_t acknowledged = 0,
     uint32_t wait_ms = 0,
-    uint8_t pace_percent = 0) {
+    uint8_t pace_percent = 0,
+    int64_t send_by_ms = -1LL) {
   WorkerCallBuilder builder_(_fbb);
+  builder_.add_send_by_ms(send_by_ms);
   builder_.add_acknowledged(acknowledged);
   builder_.add_lease_end_ms(lease_end_ms);
   builder_.add_run(run);
@@ -2260,7 +2282,8 @@
     int64_t lease_end_ms = -1LL,
     uint64_t acknowledged = 0,
     uint32_t wait_ms = 0,
-    uint8_t pace_percent = 0) {
+    uint8_t pace_percent = 0,
+    int64_t send_by_ms = -1LL) {
   auto worker__ = worker ? _fbb.CreateString(worker) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto job__ = job ? _fbb.CreateString(job) : 0;
@@ -2285,7 +2308,8 @@
       lease_end_ms,
       acknowledged,
       wait_ms,
-      pace_percent);
+      pace_percent,
+      send_by_ms);
 }
 
 struct ReportedRun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/coltsfootrack/wire/worker_call.hpp
+++ b/include/coltsfootrack/wire/worker_call.hpp
@@ -39,13 +39,16 @@
     std::chrono::milliseconds wait{0};
     // For a pace order, the share of the run's full speed, in percent.
     std::uint8_t pace_percent = 0;
+    // The peer must not send the call after this time on its own clock, see
+    // cell_status::clock; nullopt for no limit.
+    std::optional<std::chrono::milliseconds> send_by;
 
     // All fields, in order.
     auto as_tuple() const
     {
         return std::tie(nonce, kind, worker, address, epoch, run, payload,
                         checkpoint, ticket, lease_end, acknowledged, wait,
-                        pace_percent);
+                        pace_percent, send_by);
     }
 
     friend bool operator==(const worker_call& a, const worker_call& b)
--- a/src/cell/cell_daemon_catalogue.cpp
+++ b/src/cell/cell_daemon_catalogue.cpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/cell_daemon.hpp>
+#include <coltsfootrack/cell/page_budget.hpp>
 
 #include <utility>
 
@@ -37,8 +38,9 @@
     callbacks.on_changes = take;
     catalogue_follower_ = std::make_unique<table_follower>(
         loop_, ports_.store, ports_.catalogue.table,
-        std::vector<std::string>{""}, options_.follow_wait,
-        std::chrono::milliseconds(0), std::move(callbacks));
+        std::vector<std::string>{""}, page_budget_for(options_.link_rate, 1),
+        options_.follow_wait, std::chrono::milliseconds(0),
+        std::move(callbacks));
     catalogue_follower_->start();
 }
 
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -4,6 +4,8 @@
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/cell_daemon.hpp>
 #include <coltsfootrack/cell/member_row.hpp>
+#include <coltsfootrack/cell/page_budget.hpp>
+#include <coltsfootrack/cell/peer_time.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -63,8 +65,9 @@
     };
     cell_follower_ = std::make_unique<table_follower>(
         loop_, ports_.store, row_layout::cell_table,
-        std::vector<std::string>{""}, options_.follow_wait,
-        std::chrono::milliseconds(0), std::move(callbacks));
+        std::vector<std::string>{""}, page_budget_for(options_.link_rate, 1),
+        options_.follow_wait, std::chrono::milliseconds(0),
+        std::move(callbacks));
     cell_follower_->start();
 }
 
@@ -284,6 +287,7 @@
     status.leader_age = election_.leader_age(now);
     status.store_delay = election_.store_delay();
     status.processor_milli = options_.processor_milli;
+    status.clock = to_peer_time(now);
     if (leadership_ && leadership_->loaded())
     {
         const auto counts = leadership_->waiting_counts();
@@ -315,6 +319,7 @@
 {
     election_.on_status(peer, m, clock_.now());
     relay_.on_stopping(peer, m.stopping);
+    relay_.on_clock(peer, m.clock);
     if (leadership_ && m.epoch > leadership_->epoch())
     {
         step_down("peer " + peer.text() + " knows a later epoch");
--- a/src/cell/cell_daemon_workers.cpp
+++ b/src/cell/cell_daemon_workers.cpp
@@ -2,6 +2,7 @@
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/cell_daemon.hpp>
+#include <coltsfootrack/cell/peer_time.hpp>
 
 namespace coltsfootrack::cell
 {
@@ -27,6 +28,15 @@
         links_->send(peer, refused);
         return;
     }
+    if (m.send_by && from_peer_time(*m.send_by) < clock_.now())
+    {
+        // The leader has made the call itself or is about to.
+        metrics_.count_event("worker_call_expired");
+        wire::worker_answer expired;
+        expired.nonce = m.nonce;
+        links_->send(peer, expired);
+        return;
+    }
     ++worker_calls_;
     make_relayed_call(ports_.workers, m,
                       [this, peer](const wire::worker_answer& answer)
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -46,6 +46,8 @@
     , metrics_(metrics)
     , hooks_(std::move(callbacks))
     , fleet_(options_.fleet, clock.now())
+    , begun_at_(clock.now())
+    , roster_(layout.part_count())
     , last_round_(clock.now())
     , removing_(layout.part_count(), false)
     , alive_(std::make_shared<bool>(true))
@@ -182,6 +184,7 @@
     }
     log_starts(ordered_starts_, false);
     renew_all();
+    write_roster();
     hooks_.commit();
     last_round_time_ = clock_.now() - last_round_;
 }
@@ -201,6 +204,7 @@
                                fleet::order_outcome::carried_out});
     ports_.workers.start(
         found->second.listing, epoch(), order, *lease,
+        clock_.now() + options_.send_limit,
         posted<fleet::order_outcome>(
             [this, worker = order.worker, task = order.task,
              run = order.run](fleet::order_outcome outcome)
@@ -341,6 +345,7 @@
         }
         if (!fleet_.has_worker(it->first))
         {
+            roster_.remove(it->first);
             it = renewals_.erase(it);
             continue;
         }
@@ -363,6 +368,7 @@
                        worker.ends_seen == worker.ends_durable;
     request.wait = waits ? renewal_wait() : std::chrono::milliseconds(0);
     request.direct = worker.unresponsive;
+    request.send_by = now + options_.send_limit;
     state.in_flight = true;
     ports_.workers.renew(worker.listing, request,
                          posted<renewal_result>(
@@ -397,6 +403,7 @@
     request.epoch = epoch();
     request.acknowledged = fleet_.acknowledged(id);
     request.lease_end = grant_lease(id);
+    request.send_by = now + options_.send_limit;
     state.probing = true;
     ports_.workers.renew(
         worker->second.listing, request,
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
+#include <coltsfootrack/cell/page_budget.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -132,50 +133,79 @@
     }
     hooks_.committer(part).set_fence(
         row_condition{layout_.fence(part), version});
-    load_progress(part, "");
+    if (++parts_fenced_ == layout_.part_count())
+    {
+        load_progress();
+    }
 }
 
-void leadership::load_progress(std::size_t part, const std::string& from)
+void leadership::load_progress()
 {
-    ports_.store.read(
-        row_layout::progress_table, layout_.part_names()[part], from,
-        post_to<read_result>(
-            loop_, alive_,
-            [this, part, from](const read_result& result)
-            {
-                hooks_.on_store(result.status == read_status::ok);
-                if (result.status != read_status::ok)
-                {
-                    loop_.after(retry_pause,
-                                guarded([this, part, from]
-                                        { load_progress(part, from); }));
-                    return;
-                }
-                for (const stored_row& row : result.rows)
-                {
-                    hooks_.committer(part).set_version(row.id, row.version);
-                    const auto value = jobs::decode_progress(row.value);
-                    if (value.ok())
-                    {
-                        loaded_progress_[base::job_id(row.id.key)] = *value;
-                    }
-                    else
-                    {
-                        base::log(base::log_level::error, log_part,
-                                  "Progress row cannot be parsed. job={}",
-                                  row.id.key);
-                    }
-                }
-                if (result.more && !result.rows.empty())
-                {
-                    load_progress(part, result.rows.back().id.key + ' ');
-                    return;
-                }
-                if (++parts_loaded_ == layout_.part_count())
-                {
-                    follow_jobs();
-                }
-            }));
+    base::log(base::log_level::info, log_part, "Parts fenced. epoch={} ms={}",
+              epoch(), takeover_ms());
+    table_reader::hooks callbacks;
+    callbacks.on_answer = [this](bool answered)
+    {
+        hooks_.on_store(answered);
+    };
+    callbacks.on_rows =
+        [this](std::size_t part, const std::vector<stored_row>& rows)
+    {
+        for (const stored_row& row : rows)
+        {
+            apply_progress_row(part, row);
+        }
+    };
+    callbacks.on_end = [this](std::uint64_t /*version*/)
+    {
+        base::log(base::log_level::info, log_part,
+                  "Progress loaded. epoch={} rows={} pages={} failed_pages={} "
+                  "ms={}",
+                  epoch(), progress_reader_->rows(), progress_reader_->pages(),
+                  progress_reader_->failures(), takeover_ms());
+        follow_jobs();
+    };
+    progress_reader_ = std::make_unique<table_reader>(
+        loop_, ports_.store, row_layout::progress_table, layout_.part_names(),
+        page_budget_for(options_.link_rate, layout_.part_count()),
+        std::move(callbacks));
+    progress_reader_->start();
+}
+
+void leadership::apply_progress_row(std::size_t part, const stored_row& row)
+{
+    hooks_.committer(part).set_version(row.id, row.version);
+    if (row.id == layout_.roster(part))
+    {
+        load_roster(part, row);
+        return;
+    }
+    const auto value = jobs::decode_progress(row.value);
+    if (!value.ok())
+    {
+        base::log(base::log_level::error, log_part,
+                  "Progress row cannot be parsed. job={}", row.id.key);
+        return;
+    }
+    loaded_progress_[base::job_id(row.id.key)] = *value;
+}
+
+std::int64_t leadership::takeover_ms() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() -
+                                                                 begun_at_)
+        .count();
+}
+
+void leadership::load_roster(std::size_t part, const stored_row& row)
+{
+    const absl::Status loaded = roster_.load(part, row.value);
+    if (!loaded.ok())
+    {
+        base::log(base::log_level::error, log_part,
+                  "Row of workers cannot be parsed. part={} error={}",
+                  layout_.part_names()[part], std::string(loaded.message()));
+    }
 }
 
 void leadership::follow_jobs()
@@ -200,8 +230,9 @@
         loaded_ = true;
         loaded_progress_.clear();
         base::log(base::log_level::info, log_part,
-                  "Jobs loaded. epoch={} rows={} jobs={}", epoch(), rows.size(),
-                  fleet_.jobs().size());
+                  "Takeover finished. epoch={} rows={} jobs={} ms={}", epoch(),
+                  rows.size(), fleet_.jobs().size(), takeover_ms());
+        metrics_.set_value("takeover_ms", static_cast<double>(takeover_ms()));
         for (const auto& [id, row] : std::exchange(early_jobs_, {}))
         {
             on_job(id, row);
@@ -210,6 +241,7 @@
         {
             on_cancel(id);
         }
+        expect_stored_workers();
         follow_workers();
         loop_.every(options_.round_period,
                     guarded([this] { request_round(); }));
@@ -218,10 +250,22 @@
     };
     job_follower_ = std::make_unique<table_follower>(
         loop_, ports_.store, row_layout::jobs_table, layout_.part_names(),
+        page_budget_for(options_.link_rate, layout_.part_count()),
         options_.follow_wait, options_.follow_pause, std::move(callbacks));
     job_follower_->start();
 }
 
+// A worker that the platform no longer lists may answer all the same.
+void leadership::expect_stored_workers()
+{
+    const std::vector<fleet::worker_listing> workers = roster_.workers();
+    fleet_.expect_workers(workers, clock_.now());
+    for (const fleet::worker_listing& worker : workers)
+    {
+        renewals_.try_emplace(worker.worker);
+    }
+}
+
 void leadership::apply_job_rows(const std::vector<stored_row>& rows)
 {
     std::vector<base::job_id> cancelled;
@@ -266,22 +310,21 @@
     };
     worker_follower_ = std::make_unique<table_follower>(
         loop_, ports_.store, ports_.workers.list_table,
-        std::vector<std::string>{""}, options_.follow_wait,
-        options_.follow_pause, std::move(callbacks));
+        std::vector<std::string>{""}, page_budget_for(options_.link_rate, 1),
+        options_.follow_wait, options_.follow_pause, std::move(callbacks));
     worker_follower_->start();
 }
 
 void leadership::apply_worker_rows(const std::vector<stored_row>& rows,
                                    bool is_snapshot)
 {
-    const base::time_point now = clock_.now();
     std::map<base::worker_id, bool> listed;
     for (const stored_row& row : rows)
     {
         const base::worker_id id(row.id.key);
         if (!row.exists())
         {
-            fleet_.unlist_worker(id);
+            unlist_worker(id);
             continue;
         }
         const auto listing = ports_.workers.read_listing(row.id.key, row.value);
@@ -291,12 +334,11 @@
             base::log(base::log_level::warning, log_part,
                       "Worker row cannot be parsed. key={} error={}",
                       row.id.key, std::string(listing.status().message()));
-            fleet_.unlist_worker(id);
+            unlist_worker(id);
             continue;
         }
         listed[id] = true;
-        renewals_.try_emplace(id);
-        fleet_.list_worker(*listing, now);
+        list_worker(*listing);
     }
     list_read_ = list_read_ || is_snapshot;
     if (is_snapshot)
@@ -309,12 +351,82 @@
                 gone.push_back(id);
             }
         }
+        for (const auto& [id, listing] : unstored_workers_)
+        {
+            if (listed.count(id) == 0)
+            {
+                gone.push_back(id);
+            }
+        }
         for (const base::worker_id& id : gone)
         {
-            fleet_.unlist_worker(id);
+            unlist_worker(id);
         }
     }
+    write_roster();
+    hooks_.commit();
+    request_round();
+}
+
+// A worker is used only once a stored row names it.
+void leadership::list_worker(const fleet::worker_listing& listing)
+{
+    roster_.add(listing);
+    if (!roster_.stored(listing.worker))
+    {
+        unstored_workers_[listing.worker] = listing;
+        return;
+    }
+    renewals_.try_emplace(listing.worker);
+    fleet_.list_worker(listing, clock_.now());
+}
+
+void leadership::unlist_worker(const base::worker_id& id)
+{
+    if (unstored_workers_.erase(id) > 0)
+    {
+        // It was never used.
+        roster_.remove(id);
+    }
+    fleet_.unlist_worker(id);
+}
+
+void leadership::list_stored_workers()
+{
+    for (const auto& [id, listing] : std::exchange(unstored_workers_, {}))
+    {
+        list_worker(listing);
+    }
     request_round();
 }
 
+void leadership::write_roster()
+{
+    for (std::size_t part = 0; part < layout_.part_count(); ++part)
+    {
+        const auto row = roster_.next_write(part);
+        if (!row)
+        {
+            continue;
+        }
+        hooks_.committer(part).update(
+            layout_.roster(part), row->text, true, clock_.now(),
+            [this, alive = std::weak_ptr<bool>(alive_), part,
+             change = row->change](write_status status)
+            {
+                if (alive.expired())
+                {
+                    return;
+                }
+                if (status == write_status::fenced)
+                {
+                    report_lost("the fence of a job part has changed");
+                    return;
+                }
+                roster_.on_stored(part, change);
+                list_stored_workers();
+            });
+    }
+}
+
 } // namespace coltsfootrack::cell
--- a/src/cell/row_layout.cpp
+++ b/src/cell/row_layout.cpp
@@ -1,8 +1,8 @@
 // The tables, parts and keys of the rows of a cell.
 
-#include <coltsfootrack/cell/row_layout.hpp>
+#include "stable_hash.hpp"
 
-#include <cstdint>
+#include <coltsfootrack/cell/row_layout.hpp>
 
 namespace coltsfootrack::cell
 {
@@ -11,17 +11,6 @@
 
 constexpr char cancel_suffix = '!';
 
-// FNV-1a. The part of a job must be the same in every daemon and version.
-std::uint64_t stable_hash(const std::string& text)
-{
-    std::uint64_t hash = 14695981039346656037U;
-    for (const char c : text)
-    {
-        hash = (hash ^ static_cast<unsigned char>(c)) * 1099511628211U;
-    }
-    return hash;
-}
-
 } // namespace
 
 row_layout::row_layout(std::size_t parts)
@@ -67,6 +56,11 @@
     return {progress_table, part_names_[part_of(id)], id.text()};
 }
 
+row_id row_layout::roster(std::size_t part) const
+{
+    return {progress_table, part_names_[part], roster_key};
+}
+
 std::optional<base::job_id> row_layout::cancelled_job(const std::string& key)
 {
     if (key.empty() || key.back() != cancel_suffix)
--- a/src/cell/table_follower.cpp
+++ b/src/cell/table_follower.cpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/cell/table_follower.hpp>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace coltsfootrack::cell
@@ -21,6 +22,7 @@
 table_follower::table_follower(daemon::control_loop& loop,
                                const store_port& store, std::string table,
                                std::vector<std::string> parts,
+                               page_budget budget,
                                std::chrono::milliseconds wait,
                                std::chrono::milliseconds pause, hooks callbacks)
     : loop_(loop)
@@ -30,6 +32,7 @@
     , wait_(wait)
     , pause_(pause)
     , hooks_(std::move(callbacks))
+    , budget_(budget)
     , alive_(std::make_shared<bool>(true))
 {
 }
@@ -37,14 +40,55 @@
 void table_follower::start()
 {
     rows_.clear();
-    version_ = 0;
-    unread_parts_ = parts_.size();
-    ++read_id_;
-    // In parallel: one after another, many parts would take seconds from a
-    // region far from the store.
-    for (std::size_t part = 0; part < parts_.size(); ++part)
+    table_reader::hooks callbacks;
+    callbacks.on_answer = hooks_.on_answer;
+    callbacks.on_rows =
+        [this](std::size_t /*part*/, const std::vector<stored_row>& rows)
     {
-        read_part(part, "");
+        rows_.insert(rows_.end(), rows.begin(), rows.end());
+    };
+    callbacks.on_end = [this](std::uint64_t version)
+    {
+        on_read(version);
+    };
+    reader_ = std::make_unique<table_reader>(loop_, store_, table_, parts_,
+                                             budget_, std::move(callbacks));
+    reader_->start();
+}
+
+void table_follower::on_read(std::uint64_t version)
+{
+    if (reader_->failures() > 0 || reader_->pages() > 2 * parts_.size())
+    {
+        base::log(base::log_level::info, log_part,
+                  "Table read. table={} rows={} pages={} failed_pages={}",
+                  table_, reader_->rows(), reader_->pages(),
+                  reader_->failures());
+    }
+    version_ = version;
+    const std::vector<stored_row> rows = std::exchange(rows_, {});
+    const std::weak_ptr<bool> alive = alive_;
+    call_hook([&] { hooks_.on_snapshot(rows); });
+    if (!alive.expired())
+    {
+        reader_.reset();
+        follow();
+    }
+}
+
+// What a hook throws must not end the following of the table.
+void table_follower::call_hook(const std::function<void()>& hook) const
+{
+    // The hook may destroy this object.
+    const std::string table = table_;
+    try
+    {
+        hook();
+    }
+    catch (const std::exception& error)
+    {
+        base::log(base::log_level::error, log_part,
+                  "Rows not applied. table={} error={}", table, error.what());
     }
 }
 
@@ -62,58 +106,6 @@
         });
 }
 
-void table_follower::read_part(std::size_t part, const std::string& from)
-{
-    store_.read(table_, parts_[part], from,
-                [this, part, read_id = read_id_,
-                 alive = std::weak_ptr<bool>(alive_),
-                 &loop = loop_](read_result result)
-                {
-                    loop.post(
-                        [this, part, read_id, alive, result = std::move(result)]
-                        {
-                            if (!alive.expired() && read_id == read_id_)
-                            {
-                                on_page(part, result);
-                            }
-                        });
-                });
-}
-
-void table_follower::on_page(std::size_t part, const read_result& result)
-{
-    hooks_.on_answer(result.status == read_status::ok);
-    if (result.status != read_status::ok)
-    {
-        // Discards the pending answers for the other parts.
-        ++read_id_;
-        run_after(retry_pause, [this] { start(); });
-        return;
-    }
-    rows_.insert(rows_.end(), result.rows.begin(), result.rows.end());
-    // Follows from the oldest page on, so that no change during the read is
-    // missed.
-    version_ =
-        version_ == 0 ? result.version : std::min(version_, result.version);
-    if (result.more && !result.rows.empty())
-    {
-        // Keys have no control characters, so this is the next possible key.
-        read_part(part, result.rows.back().id.key + ' ');
-        return;
-    }
-    if (--unread_parts_ > 0)
-    {
-        return;
-    }
-    const std::vector<stored_row> rows = std::exchange(rows_, {});
-    const std::weak_ptr<bool> alive = alive_;
-    hooks_.on_snapshot(rows);
-    if (!alive.expired())
-    {
-        follow();
-    }
-}
-
 void table_follower::follow()
 {
     // After a failure the read does not wait for a change, since it would then
@@ -159,7 +151,7 @@
         return;
     }
     const std::weak_ptr<bool> alive = alive_;
-    hooks_.on_changes(result.rows);
+    call_hook([&] { hooks_.on_changes(result.rows); });
     if (alive.expired())
     {
         return;
--- a/src/cell/worker_messages.cpp
+++ b/src/cell/worker_messages.cpp
@@ -2,6 +2,8 @@
 
 #include "worker_messages.hpp"
 
+#include <coltsfootrack/cell/peer_time.hpp>
+
 namespace coltsfootrack::cell
 {
 namespace
@@ -67,6 +69,12 @@
     return call;
 }
 
+base::time_point send_by_of(const wire::worker_call& call)
+{
+    return call.send_by ? from_peer_time(*call.send_by)
+                        : base::time_point::max();
+}
+
 lease_renewal renewal_of(const wire::worker_call& call)
 {
     lease_renewal renewal;
@@ -74,6 +82,7 @@
     renewal.acknowledged = call.acknowledged;
     renewal.lease_end = call.lease_end;
     renewal.wait = call.wait;
+    renewal.send_by = send_by_of(call);
     return renewal;
 }
 
--- a/src/cell/worker_messages.hpp
+++ b/src/cell/worker_messages.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_SRC_CELL_WORKER_MESSAGES_HPP_INCLUDED
 #define COLTSFOOTRACK_SRC_CELL_WORKER_MESSAGES_HPP_INCLUDED
 
+#include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/cell/lease_renewal.hpp>
 #include <coltsfootrack/fleet/order.hpp>
 #include <coltsfootrack/fleet/order_outcome.hpp>
@@ -21,6 +22,9 @@
 wire::worker_call call_of(std::uint64_t epoch, const fleet::stop_order& order);
 wire::worker_call call_of(std::uint64_t epoch, const fleet::pace_order& order);
 
+// Until when this daemon may send the call that a message asks for.
+base::time_point send_by_of(const wire::worker_call& call);
+
 // The call that a message describes.
 lease_renewal renewal_of(const wire::worker_call& call);
 fleet::start_order start_of(const wire::worker_call& call);
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -4,6 +4,7 @@
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/first_nonce.hpp>
+#include <coltsfootrack/cell/peer_time.hpp>
 #include <coltsfootrack/cell/worker_relay.hpp>
 
 #include <utility>
@@ -37,6 +38,10 @@
     return hash ^ (hash >> half);
 }
 
+// For orders that do no harm however late they are sent: the run number or the
+// epoch tells the worker that they are old.
+constexpr base::time_point no_send_limit = base::time_point::max();
+
 // For the repetition of a start that a peer may have made: if it is refused,
 // the run of the first start may still exist, have ended, or start later.
 worker_port::order_callback after_first_start(worker_port::order_callback done)
@@ -81,8 +86,13 @@
         probe.wait = std::chrono::milliseconds(0);
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
+            renewal.send_by,
             [this, worker, probe, done](bool /*repeated*/)
-            { direct_.renew(worker, probe, done); },
+            {
+                lease_renewal retry = probe;
+                retry.send_by = clock_.now() + order_timeout;
+                direct_.renew(worker, retry, done);
+            },
             [done](const wire::worker_answer& answer)
             {
                 renewal_result result = renewal_of(answer);
@@ -99,13 +109,15 @@
     made.start = [this](const fleet::worker_listing& worker,
                         std::uint64_t epoch, const fleet::start_order& order,
                         std::chrono::milliseconds lease_end,
+                        base::time_point send_by,
                         const worker_port::order_callback& done)
     {
         relay_order(
-            worker, call_of(epoch, order, lease_end),
+            worker, call_of(epoch, order, lease_end), send_by,
             [this, worker, epoch, order, lease_end, done](bool repeated)
             {
                 direct_.start(worker, epoch, order, lease_end,
+                              clock_.now() + order_timeout,
                               repeated ? after_first_start(done) : done);
             },
             done);
@@ -115,7 +127,7 @@
                        const worker_port::order_callback& done)
     {
         relay_order(
-            worker, call_of(epoch, order),
+            worker, call_of(epoch, order), no_send_limit,
             [this, worker, epoch, order, done](bool /*repeated*/)
             { direct_.stop(worker, epoch, order, done); },
             done);
@@ -125,7 +137,7 @@
                        const worker_port::order_callback& done)
     {
         relay_order(
-            worker, call_of(epoch, order),
+            worker, call_of(epoch, order), no_send_limit,
             [this, worker, epoch, order, done](bool /*repeated*/)
             { direct_.pace(worker, epoch, order, done); },
             done);
@@ -134,10 +146,11 @@
 }
 
 void worker_relay::relay_order(const fleet::worker_listing& worker,
-                               wire::worker_call call, direct_call direct,
+                               wire::worker_call call, base::time_point send_by,
+                               direct_call direct,
                                worker_port::order_callback done)
 {
-    relay(worker, std::move(call), order_timeout, std::move(direct),
+    relay(worker, std::move(call), order_timeout, send_by, std::move(direct),
           [done = std::move(done)](const wire::worker_answer& answer)
           {
               done(outcome_of(answer));
@@ -147,10 +160,15 @@
 
 void worker_relay::relay(const fleet::worker_listing& worker,
                          wire::worker_call call,
-                         std::chrono::milliseconds limit, direct_call direct,
+                         std::chrono::milliseconds limit,
+                         base::time_point send_by, direct_call direct,
                          std::function<bool(const wire::worker_answer&)> answer)
 {
     const auto peer = peer_for(worker);
+    if (peer && send_by != no_send_limit)
+    {
+        call.send_by = on_clock_of(peers_.at(*peer), send_by);
+    }
     call.nonce = next_nonce_++;
     call.worker = worker.worker;
     call.address = worker.address;
@@ -175,7 +193,8 @@
     for (const auto& [id, peer] : peers_)
     {
         const bool near = peer.zone == worker.zone;
-        if (peer.stopping || now < peer.backoff_until || (best_near && !near))
+        if (peer.stopping || !peer.clock || now < peer.backoff_until ||
+            (best_near && !near))
         {
             continue;
         }
@@ -199,7 +218,27 @@
 void worker_relay::on_link(const base::daemon_id& peer,
                            const base::zone_id& zone)
 {
-    peers_[peer] = {zone, false, {}};
+    peers_[peer] = {zone, false, {}, std::nullopt, {}};
+}
+
+void worker_relay::on_clock(const base::daemon_id& peer,
+                            std::optional<std::chrono::milliseconds> clock)
+{
+    const auto found = peers_.find(peer);
+    if (found != peers_.end())
+    {
+        found->second.clock = clock;
+        found->second.clock_at = clock_.now();
+    }
+}
+
+// The time that its status took to arrive makes the result earlier than the
+// given time, never later.
+std::chrono::milliseconds worker_relay::on_clock_of(const peer_state& peer,
+                                                    base::time_point time)
+{
+    return *peer.clock + std::chrono::duration_cast<std::chrono::milliseconds>(
+                             time - peer.clock_at);
 }
 
 void worker_relay::on_link_lost(const base::daemon_id& peer)
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -47,6 +47,19 @@
     worker.listed = true;
 }
 
+void fleet::expect_workers(const std::vector<worker_listing>& workers,
+                           base::time_point now)
+{
+    for (const worker_listing& listing : workers)
+    {
+        if (!has_worker(listing.worker))
+        {
+            list_worker(listing, now);
+            unlist_worker(listing.worker);
+        }
+    }
+}
+
 void fleet::unlist_worker(const base::worker_id& id)
 {
     const auto found = workers_.find(id);
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -54,13 +54,14 @@
 {
     std::string address;
     request message;
-    std::chrono::milliseconds timeout{0};
+    call_options options;
     async_client::callback done;
     transfer current;
     curl_slist* headers = nullptr;
     // When it fails, unless it has made progress by then.
     std::multimap<steady::time_point, CURL*>::iterator deadline;
-    // The bytes received when it timed out, and the rounds since then.
+    // The bytes received when it timed out or was last looked at, and the
+    // rounds since then.
     std::size_t received = 0;
     int extra_rounds = 0;
 };
@@ -270,13 +271,24 @@
         {
             return std::nullopt;
         }
-        const auto answer_by = current.sent_at + late.timeout;
+        const auto answer_by = current.sent_at + late.options.timeout;
         if (answer_by > polled_at)
         {
             return answer_by;
         }
         const std::size_t received =
             current.header_bytes + current.answer.body.size();
+        if (late.options.stall_timeout.count() > 0)
+        {
+            const auto longest = current.sent_at + late.options.longest;
+            if (received == late.received || longest <= polled_at)
+            {
+                return std::nullopt;
+            }
+            late.received = received;
+            return std::min(longest,
+                            steady::now() + late.options.stall_timeout);
+        }
         if (received == late.received || late.extra_rounds == max_extra_rounds)
         {
             return std::nullopt;
@@ -316,11 +328,11 @@
         }
         new_call->headers =
             configure(handle, new_call->address, new_call->message, options_,
-                      new_call->timeout, timeout_enforcement::by_caller,
+                      new_call->options.timeout, timeout_enforcement::by_caller,
                       new_call->current);
         new_call->deadline = deadlines_.emplace(
             steady::now() +
-                std::min(new_call->timeout, options_.connect_timeout),
+                std::min(new_call->options.timeout, options_.connect_timeout),
             handle);
         curl_multi_add_handle(multi_, handle);
         running_.emplace(handle, std::move(new_call));
@@ -417,16 +429,25 @@
 async_client::~async_client() = default;
 
 void async_client::send(const std::string& address, request message,
-                        std::chrono::milliseconds total_timeout, callback done)
+                        const call_options& options, callback done)
 {
     auto new_call = std::make_unique<call>();
     new_call->address = address;
     new_call->message = std::move(message);
-    new_call->timeout = total_timeout;
+    new_call->options = options;
     new_call->done = std::move(done);
+    new_call->current.may_send = options.may_send;
     impl_->send(std::move(new_call));
 }
 
+void async_client::send(const std::string& address, request message,
+                        std::chrono::milliseconds total_timeout, callback done)
+{
+    call_options options;
+    options.timeout = total_timeout;
+    send(address, std::move(message), options, std::move(done));
+}
+
 std::size_t async_client::in_flight() const
 {
     return impl_->in_flight();
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -226,6 +226,7 @@
     value.store_delay = std::chrono::milliseconds(m.store_delay_ms());
     value.catalogue_version = m.catalogue_version();
     value.processor_milli = m.processor_milli();
+    value.clock = fields.age(m.clock_ms());
     overlap_check check(size);
     for (std::size_t i = 0; m.queues() != nullptr && i < m.queues()->size();
          ++i)
@@ -366,6 +367,7 @@
     value.acknowledged = m.acknowledged();
     value.wait = std::chrono::milliseconds(m.wait_ms());
     value.pace_percent = m.pace_percent();
+    value.send_by = fields.age(m.send_by_ms());
     return fields.result(std::move(value));
 }
 
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -141,13 +141,13 @@
                 fb::CreateQueueCount(builder, name, count.waiting));
         }
         const auto list = builder.CreateVector(queues);
-        return {
-            fb::Body::CellStatus,
-            fb::CreateCellStatus(builder, m.epoch, leader, m.leading,
-                                 m.stopping, age_ms(m.store_age),
-                                 age_ms(m.leader_age), lease_ms(m.store_delay),
-                                 m.catalogue_version, list, m.processor_milli)
-                .Union()};
+        return {fb::Body::CellStatus,
+                fb::CreateCellStatus(
+                    builder, m.epoch, leader, m.leading, m.stopping,
+                    age_ms(m.store_age), age_ms(m.leader_age),
+                    lease_ms(m.store_delay), m.catalogue_version, list,
+                    m.processor_milli, age_ms(m.clock))
+                    .Union()};
     }
 
     encoded_body operator()(const catalogue_copy& m) const
@@ -253,7 +253,7 @@
                     address, m.epoch, job, m.run.occurrence, m.run.step,
                     m.run.task, m.run.run, payload, checkpoint, ticket,
                     age_ms(m.lease_end), m.acknowledged, lease_ms(m.wait),
-                    m.pace_percent)
+                    m.pace_percent, age_ms(m.send_by))
                     .Union()};
     }
 
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -1,6 +1,7 @@
 #include "leadership_harness.hpp"
 
 #include <algorithm>
+#include <cppunit/TestAssert.h>
 
 namespace coltsfootrack::cell
 {
@@ -92,7 +93,8 @@
         done(result);
     };
     made.store.read = [this](const std::string& table, const std::string& part,
-                             const std::string& from, const auto& done)
+                             const std::string& from, std::size_t limit,
+                             const auto& done)
     {
         read_result result;
         result.status = read_status::ok;
@@ -105,10 +107,16 @@
         result.version = store_.version();
         for (const auto& [id, row] : store_.rows())
         {
-            if (id.table == table && id.part == part && id.key >= from)
+            if (id.table != table || id.part != part || id.key < from)
             {
-                result.rows.push_back(row);
+                continue;
             }
+            if (result.rows.size() == limit)
+            {
+                result.more = true;
+                break;
+            }
+            result.rows.push_back(row);
         }
         done(result);
     };
@@ -135,15 +143,17 @@
         renewal_result result;
         result.report.life = 1;
         leases_ += renewal.lease_end ? 1 : 0;
+        unstored_worker_used_ =
+            unstored_worker_used_ || !is_stored(worker.worker);
         result.outcome = unresponsive_.count(worker.worker.text()) != 0
                              ? fleet::order_outcome::unhealthy
                              : fleet::order_outcome::carried_out;
         loop_.after(milliseconds(10), [done, result] { done(result); });
     };
-    made.workers.start = [this](const fleet::worker_listing& /*worker*/,
-                                std::uint64_t /*epoch*/,
-                                const fleet::start_order& order,
-                                milliseconds /*lease_end*/, const auto& done)
+    made.workers.start =
+        [this](const fleet::worker_listing& /*worker*/, std::uint64_t /*epoch*/,
+               const fleet::start_order& order, milliseconds /*lease_end*/,
+               base::time_point /*send_by*/, const auto& done)
     {
         starts_.push_back(order);
         done(start_outcome_);
@@ -214,6 +224,36 @@
     }
 }
 
+void leadership_harness::put_used_worker(const std::string& id)
+{
+    fleet::worker_listing listing;
+    listing.worker = base::worker_id(id);
+    listing.service = service;
+    worker_roster roster(parts);
+    roster.add(listing);
+    for (std::size_t part = 0; part < parts; ++part)
+    {
+        if (const auto row = roster.next_write(part))
+        {
+            store_.put(layout_.roster(part), row->text);
+        }
+    }
+    unresponsive_.insert(id);
+}
+
+bool leadership_harness::is_stored(const base::worker_id& worker) const
+{
+    worker_roster roster(parts);
+    for (std::size_t part = 0; part < parts; ++part)
+    {
+        if (const auto text = store_.value(layout_.roster(part)))
+        {
+            CPPUNIT_ASSERT(roster.load(part, *text).ok());
+        }
+    }
+    return roster.stored(worker);
+}
+
 std::string leadership_harness::job_row(std::uint64_t leader_epoch) const
 {
     jobs::job_submission job;
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -35,6 +35,17 @@
     void add_worker(const std::string& id, bool answers);
     void put_job(const std::string& id, std::uint64_t leader_epoch);
 
+    // Stores that a former leader has used a worker, which is not listed and
+    // does not answer.
+    void put_used_worker(const std::string& id);
+
+    // Whether a lease was granted to a worker that no stored row named. Call
+    // inside run().
+    bool unstored_worker_used() const
+    {
+        return unstored_worker_used_;
+    }
+
     // Stores the progress of a completed job.
     void put_completed(const std::string& id);
 
@@ -114,6 +125,7 @@
     void answer_follow(const std::string& table, std::uint64_t after,
                        int attempts, store_port::read_callback done);
     void commit();
+    bool is_stored(const base::worker_id& worker) const;
     std::string job_row(std::uint64_t leader_epoch) const;
 
     base::system_clock clock_;
@@ -130,6 +142,7 @@
     bool list_readable_ = true;
     bool isolated_ = false;
     int leases_ = 0;
+    bool unstored_worker_used_ = false;
     ports ports_;
     std::vector<row_committer> committers_;
     std::unique_ptr<leadership> leadership_;
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -30,6 +30,8 @@
     CPPUNIT_TEST(leader_all_workers_answer_starts_every_job);
     CPPUNIT_TEST(leader_inherited_job_waits_for_workers_not_listed_yet);
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_is_read);
+    CPPUNIT_TEST(leader_inherited_job_waits_for_used_worker_off_the_list);
+    CPPUNIT_TEST(leader_worker_is_stored_before_it_is_used);
     CPPUNIT_TEST(leader_isolated_grants_no_lease_and_starts_nothing);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
     CPPUNIT_TEST(leader_final_job_is_removed_after_retention);
@@ -133,6 +135,39 @@
         CPPUNIT_ASSERT(!harness.wait_started("former", milliseconds(300)));
     }
 
+    // Guards against seed 1043 of the soak: a worker that did not answer was no
+    // longer listed when a new leader took over, and its lease still lasted.
+    void leader_inherited_job_waits_for_used_worker_off_the_list()
+    {
+        leadership_harness harness(epoch);
+        harness.add_worker("w1", true);
+        harness.put_used_worker("w2");
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        harness.send_job("former", epoch - 1);
+        harness.send_job("own", epoch);
+        CPPUNIT_ASSERT(harness.wait_started("own", soon));
+        CPPUNIT_ASSERT(!harness.wait_started("former", soon));
+        // Until its lease has certainly expired.
+        CPPUNIT_ASSERT(harness.wait_started("former", milliseconds(8000)));
+    }
+
+    void leader_worker_is_stored_before_it_is_used()
+    {
+        leadership_harness harness(epoch);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        harness.run(
+            [&]
+            {
+                harness.add_worker("w1", true);
+                harness.add_worker("w2", true);
+            });
+        harness.send_job("own", epoch);
+        CPPUNIT_ASSERT(harness.wait_started("own", soon));
+        harness.run([&] { CPPUNIT_ASSERT(!harness.unstored_worker_used()); });
+    }
+
     // Guards against two runs of a task: the next leader assumes that leases of
     // a leader that was isolated along with its workers have expired.
     void leader_isolated_grants_no_lease_and_starts_nothing()
--- a/test/cell/table_follower_test.cpp
+++ b/test/cell/table_follower_test.cpp
@@ -8,6 +8,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 namespace coltsfootrack::cell
@@ -27,7 +28,8 @@
     {
         store_.read = [this](const std::string& /*table*/,
                              const std::string& part,
-                             const std::string& /*from*/, const auto& done)
+                             const std::string& /*from*/, std::size_t /*limit*/,
+                             const auto& done)
         {
             reads.emplace_back(part, done);
         };
@@ -45,12 +47,16 @@
         callbacks.on_snapshot = [this](const std::vector<stored_row>& rows)
         {
             snapshots.push_back(rows);
+            fail();
         };
-        callbacks.on_changes = [](const std::vector<stored_row>& /*rows*/) {
+        callbacks.on_changes = [this](const std::vector<stored_row>& /*rows*/)
+        {
+            fail();
         };
         follower_ = std::make_unique<table_follower>(
             loop_, store_, "t", std::vector<std::string>{"a", "b", "c"},
-            milliseconds(1500), milliseconds(0), std::move(callbacks));
+            page_budget{500, 3}, milliseconds(1500), milliseconds(0),
+            std::move(callbacks));
         thread_ = std::thread([this] { loop_.run(); });
         run([this] { follower_->start(); });
     }
@@ -116,10 +122,20 @@
     std::vector<std::pair<std::string, store_port::read_callback>> reads;
     std::vector<store_port::read_callback> follows;
     std::vector<std::vector<stored_row>> snapshots;
+    // Whether the hooks throw.
+    bool throwing = false;
     std::uint64_t followed_from = 0;
     milliseconds followed_wait{0};
 
 private:
+    void fail() const
+    {
+        if (throwing)
+        {
+            throw std::runtime_error("unexpected row");
+        }
+    }
+
     base::system_clock clock_;
     daemon::control_loop loop_;
     store_port store_;
@@ -134,7 +150,8 @@
     CPPUNIT_TEST_SUITE(table_follower_test);
     CPPUNIT_TEST(snapshot_has_rows_of_all_parts);
     CPPUNIT_TEST(changes_are_followed_from_oldest_version);
-    CPPUNIT_TEST(failed_part_restarts_read_without_late_answers);
+    CPPUNIT_TEST(failed_part_alone_is_read_again);
+    CPPUNIT_TEST(hook_throws_table_is_still_followed);
     CPPUNIT_TEST(failed_follow_is_retried_without_wait);
     CPPUNIT_TEST_SUITE_END();
 
@@ -163,22 +180,39 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), table.followed_from);
     }
 
-    void failed_part_restarts_read_without_late_answers()
+    // Guards against a read that begins again at each failure, and so never
+    // ends on a thin link.
+    void failed_part_alone_is_read_again()
     {
         followed_table table;
         table.answer(0, followed_table::page("a", 5));
         table.answer(1, read_result());
-        // An answer to the abandoned read.
-        table.answer(2, followed_table::page("c", 5));
-        CPPUNIT_ASSERT(table.wait_for([&] { return table.reads.size() == 6; }));
-        for (const std::size_t i : {3U, 4U, 5U})
-        {
-            table.answer(i, followed_table::page(table.reads[i].first, 20));
-        }
+        table.answer(2, followed_table::page("c", 20));
+        CPPUNIT_ASSERT(table.wait_for([&] { return table.reads.size() == 4; }));
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), table.reads[3].first);
+        CPPUNIT_ASSERT(table.snapshots.empty());
+        table.answer(3, followed_table::page("b", 30));
         CPPUNIT_ASSERT(
             table.wait_for([&] { return table.snapshots.size() == 1; }));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), table.snapshots[0].size());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(20), table.followed_from);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), table.followed_from);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), table.reads.size());
+    }
+
+    // Guards against one unexpected row after which changes are missed.
+    void hook_throws_table_is_still_followed()
+    {
+        followed_table table;
+        table.run([&] { table.throwing = true; });
+        for (std::size_t i = 0; i < 3; ++i)
+        {
+            table.answer(i, followed_table::page(table.reads[i].first, 10));
+        }
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 1; }));
+        table.answer_follow(0, followed_table::page("a", 11));
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 2; }));
     }
 
     // Guards against noticing seconds late that the store is back.
--- a/test/cell/worker_relay_harness.hpp
+++ b/test/cell/worker_relay_harness.hpp
@@ -38,6 +38,7 @@
         lease_renewal renewal;
         fleet::start_order start;
         std::chrono::milliseconds lease_end{0};
+        base::time_point send_by;
         fleet::stop_order stop;
         fleet::pace_order pace;
         std::function<void(renewal_result)> finish_renewal;
@@ -55,6 +56,12 @@
         }
     };
 
+    // How long a start or a renewal may be sent.
+    static constexpr std::chrono::milliseconds send_limit{600};
+
+    // The clock of each peer when it connects.
+    static constexpr std::chrono::milliseconds peer_clock{50000};
+
     worker_relay_harness()
         : direct_port(recording_port())
         , relay(
@@ -85,6 +92,7 @@
     void link(const std::string& peer, const std::string& zone)
     {
         relay.on_link(base::daemon_id(peer), base::zone_id(zone));
+        relay.on_clock(base::daemon_id(peer), peer_clock);
     }
 
     // Makes a renewal whose outcome is added to `outcomes`.
@@ -98,6 +106,7 @@
         renewal.lease_end = std::chrono::milliseconds(9000);
         renewal.wait = wait;
         renewal.direct = direct;
+        renewal.send_by = clock.now() + send_limit;
         port.renew(to, renewal,
                    [this](const renewal_result& result)
                    { outcomes.push_back(result.outcome); });
@@ -110,6 +119,7 @@
         order.worker = to.worker;
         order.run = 1;
         port.start(to, 7, order, std::chrono::milliseconds(9000),
+                   clock.now() + send_limit,
                    [this](fleet::order_outcome outcome)
                    { outcomes.push_back(outcome); });
     }
@@ -163,12 +173,14 @@
                                  std::uint64_t epoch,
                                  const fleet::start_order& order,
                                  std::chrono::milliseconds lease_end,
+                                 base::time_point send_by,
                                  const worker_port::order_callback& done)
         {
             direct_call call =
                 order_call(wire::worker_call_kind::start, to, epoch, done);
             call.start = order;
             call.lease_end = lease_end;
+            call.send_by = send_by;
             direct_calls.push_back(std::move(call));
         };
         recording.stop = [this](const fleet::worker_listing& to,
--- a/test/cell/worker_relay_messages_test.cpp
+++ b/test/cell/worker_relay_messages_test.cpp
@@ -2,6 +2,8 @@
 
 #include "worker_relay_harness.hpp"
 
+#include <coltsfootrack/cell/peer_time.hpp>
+
 #include <coltsfootrack/wire/codec.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -90,6 +92,7 @@
     CPPUNIT_TEST(order_unknown_outcome_number_is_unknown);
     CPPUNIT_TEST(renewal_unknown_outcome_number_is_retried_directly);
     CPPUNIT_TEST(renewal_unknown_end_kind_is_retried_directly);
+    CPPUNIT_TEST(send_limit_out_of_range_becomes_nearest_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -103,7 +106,10 @@
                                        large,         "payload",
                                        "checkpoint",  "ticket"};
         std::optional<order_outcome> result;
+        const base::time_point send_by =
+            both.leader.clock.now() + milliseconds(450);
         both.leader.port.start(worker, large, order, milliseconds(5123),
+                               send_by,
                                [&result](order_outcome o) { result = o; });
         const auto& call = both.make_call();
         CPPUNIT_ASSERT(call.kind == wire::worker_call_kind::start);
@@ -111,6 +117,9 @@
         CPPUNIT_ASSERT_EQUAL(worker.address, call.worker.address);
         CPPUNIT_ASSERT_EQUAL(large, call.epoch);
         CPPUNIT_ASSERT(call.lease_end == milliseconds(5123));
+        // On the clock of the peer, as its status gave it.
+        CPPUNIT_ASSERT(to_peer_time(call.send_by) ==
+                       worker_relay_harness::peer_clock + milliseconds(450));
         CPPUNIT_ASSERT(call.start.worker == order.worker);
         CPPUNIT_ASSERT(call.start.task == order.task);
         CPPUNIT_ASSERT_EQUAL(order.run, call.start.run);
@@ -121,6 +130,19 @@
         CPPUNIT_ASSERT(result == order_outcome::bad_ticket);
     }
 
+    // A malformed message must not make the arithmetic of times overflow.
+    void send_limit_out_of_range_becomes_nearest_time()
+    {
+        CPPUNIT_ASSERT(from_peer_time(milliseconds::max()) <=
+                       base::time_point::max());
+        CPPUNIT_ASSERT(from_peer_time(milliseconds::max()) >
+                       base::time_point() + std::chrono::hours(1000000));
+        CPPUNIT_ASSERT(from_peer_time(milliseconds::min()) <
+                       base::time_point() - std::chrono::hours(1000000));
+        CPPUNIT_ASSERT(from_peer_time(milliseconds(1500)) ==
+                       base::time_point() + milliseconds(1500));
+    }
+
     // A stop of the wrong run would end work that is still needed.
     void stop_over_peer_keeps_every_field()
     {
--- a/test/cell/worker_relay_sequence_test.cpp
+++ b/test/cell/worker_relay_sequence_test.cpp
@@ -228,7 +228,8 @@
         case 0:
             calls_[number].start = true;
             harness_.port.start(worker, 1, {worker.worker, {}, 1, "", "", ""},
-                                milliseconds(1), done);
+                                milliseconds(1),
+                                harness_.clock.now() + milliseconds(600), done);
             break;
         case 1:
             harness_.port.stop(worker, 1, {worker.worker, {}, 1}, done);
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -45,6 +45,10 @@
     CPPUNIT_TEST(expire_renewal_only_after_its_wait);
     CPPUNIT_TEST(expire_backs_off_peer);
     CPPUNIT_TEST(link_lost_makes_only_its_calls_directly);
+    CPPUNIT_TEST(start_peer_may_send_only_until_leader_makes_it);
+    CPPUNIT_TEST(call_repeated_directly_gets_new_send_limit);
+    CPPUNIT_TEST(call_peer_of_unknown_clock_goes_elsewhere);
+    CPPUNIT_TEST(stop_peer_may_send_at_any_time);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -266,6 +270,7 @@
                            [](const base::daemon_id&, const wire::worker_call&)
                            { return true; });
         relay.on_link(peer_a, base::zone_id("a"));
+        relay.on_clock(peer_a, worker_relay_harness::peer_clock);
         bool ended = false;
         const auto worker = restarted.worker("w", "a");
         relay.port().stop(worker, 8, {worker.worker, {}, 1},
@@ -487,6 +492,60 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.outcomes.size());
         CPPUNIT_ASSERT(!harness.relay.has_pending_calls());
     }
+
+    // Guards against seed 1020 of the soak: a start that was held up on its way
+    // to a peer reached the worker after the leader had made it directly, the
+    // run had ended and the worker had restarted.
+    void start_peer_may_send_only_until_leader_makes_it()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        // The status is this old when the start is ordered.
+        harness.clock.advance(milliseconds(200));
+        harness.start(harness.worker("w", "a"));
+        harness.renew(harness.worker("w", "a"), milliseconds(1000));
+        for (const auto& sent : harness.sent_calls)
+        {
+            CPPUNIT_ASSERT(sent.call.send_by ==
+                           worker_relay_harness::peer_clock +
+                               milliseconds(200) + worker_relay::order_timeout);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.sent_calls.size());
+    }
+
+    void call_repeated_directly_gets_new_send_limit()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.start(harness.worker("w", "a"));
+        harness.renew(harness.worker("w", "a"));
+        harness.clock.advance(worker_relay::renewal_slack);
+        harness.relay.expire();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.direct_calls.size());
+        const base::time_point limit =
+            harness.clock.now() + worker_relay::order_timeout;
+        CPPUNIT_ASSERT(harness.direct_calls[0].send_by == limit);
+        CPPUNIT_ASSERT(harness.direct_calls[1].renewal.send_by == limit);
+    }
+
+    void call_peer_of_unknown_clock_goes_elsewhere()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.relay.on_clock(peer_a, std::nullopt);
+        harness.start(harness.worker("w", "a"));
+        CPPUNIT_ASSERT(harness.sent_calls.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.direct_calls.size());
+    }
+
+    // The worker recognizes an old stop by the number of its run.
+    void stop_peer_may_send_at_any_time()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.stop(harness.worker("w", "a"));
+        CPPUNIT_ASSERT(!harness.sent_calls.at(0).call.send_by);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(worker_relay_test);
--- a/test/http/async_client_test.cpp
+++ b/test/http/async_client_test.cpp
@@ -65,6 +65,7 @@
     CPPUNIT_TEST(send_slow_answer_times_out_as_sent);
     CPPUNIT_TEST(send_endless_answer_times_out);
     CPPUNIT_TEST(send_queued_too_long_fails_as_not_sent);
+    CPPUNIT_TEST(send_condition_false_when_connected_is_not_sent);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -84,6 +85,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string("hello"), result.answer.body);
     }
 
+    // Guards against an order that a daemon sends after it was paused while the
+    // connection was being opened: the condition is asked as late as possible.
+    void send_condition_false_when_connected_is_not_sent()
+    {
+        auto received = std::make_shared<std::promise<std::string>>();
+        raw_server server(
+            [received](int connection, int)
+            { received->set_value(raw_server::read_header(connection)); });
+        async_client http{client_options{}, 2};
+        std::promise<client_result> ended;
+        call_options options;
+        options.timeout = milliseconds(500);
+        options.may_send = []
+        {
+            return false;
+        };
+        http.send(server.address(), post(), options,
+                  [&ended](client_result value)
+                  { ended.set_value(std::move(value)); });
+        const client_result result = ended.get_future().get();
+        CPPUNIT_ASSERT(!result.ok());
+        CPPUNIT_ASSERT(!result.request_sent);
+        // The server sees a connection that is closed without a request.
+        CPPUNIT_ASSERT_EQUAL(std::string(), received->get_future().get());
+    }
+
     // Guards against orders that time out because several go to one worker at
     // once.
     void send_queued_for_connection_timeout_starts_when_sent()
--- a/test/platform/names_and_settings_test.cpp
+++ b/test/platform/names_and_settings_test.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(settings_valid_set_every_field);
     CPPUNIT_TEST(settings_with_comments_are_read);
     CPPUNIT_TEST(settings_advertised_peer_is_optional_and_checked);
+    CPPUNIT_TEST(settings_link_rate_is_optional_and_checked);
     CPPUNIT_TEST(settings_missing_field_is_an_error);
     CPPUNIT_TEST(settings_missing_file_is_an_error);
     CPPUNIT_TEST_SUITE_END();
@@ -84,6 +85,23 @@
         CPPUNIT_ASSERT(!parse_settings(given.dump()).ok());
     }
 
+    void settings_link_rate_is_optional_and_checked()
+    {
+        nlohmann::json given = valid_settings();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             parse_settings(given.dump())->link_rate);
+        given["limits"]["link_megabits_per_s"] = 2.0;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{250000},
+                             parse_settings(given.dump())->link_rate);
+        for (const nlohmann::json& value :
+             {nlohmann::json(-1), nlohmann::json(1e300),
+              nlohmann::json("fast")})
+        {
+            given["limits"]["link_megabits_per_s"] = value;
+            CPPUNIT_ASSERT(!parse_settings(given.dump()).ok());
+        }
+    }
+
     void settings_with_comments_are_read()
     {
         CPPUNIT_ASSERT(
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -60,6 +60,7 @@
     value.store_delay = any_span();
     value.catalogue_version = any_number();
     value.processor_milli = *rc::gen::arbitrary<std::uint32_t>();
+    value.clock = any_age();
     const int queues = *rc::gen::inRange(0, 10);
     for (int i = 0; i < queues; ++i)
     {
@@ -122,6 +123,7 @@
     value.acknowledged = any_number();
     value.wait = any_span();
     value.pace_percent = *rc::gen::arbitrary<std::uint8_t>();
+    value.send_by = any_age();
     return value;
 }
 
