Compress the frames between daemons, and log what each link carries

Calls timed out, each made further calls, and from then on almost nothing was served. No line of the log said so: "Store does not answer" was all that showed.

Change: each connection between daemons is one deflate stream, flushed after each frame, if the peer's hello says that it can read it. A connection starts to compress with its first frame of 256 bytes, so links that only carry statuses take no memory for it. A daemon logs every 10 s what its link carried by purpose, and serves the same as metrics.

Ruled out: the store (its answers took 4 ms) and processor time (0.01 of a core).

--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -10,6 +10,7 @@
 target_link_libraries(coltsfootrack PUBLIC
     absl::status absl::statusor absl::flat_hash_map fmt::fmt
     nlohmann_json::nlohmann_json prometheus-cpp::core OpenSSL::Crypto
+    ZLIB::ZLIB
     PkgConfig::MICROHTTPD PkgConfig::CURL Threads::Threads)
 
 # The programs: every source of the part, with main in src/<program>.cpp.
--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -12,6 +12,10 @@
         add_executable(test-${part} ${sources})
         target_link_libraries(test-${part} PRIVATE coltsfootrack-test-main)
         target_include_directories(test-${part} PRIVATE test)
+        if(part STREQUAL wire)
+            # Tests of headers that are not installed.
+            target_include_directories(test-wire PRIVATE src)
+        endif()
         if(part STREQUAL daemon)
             target_link_libraries(test-daemon PRIVATE coltsfootrack-daemon)
         endif()
--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -12,6 +12,7 @@
 #include <coltsfootrack/cell/row_layout.hpp>
 #include <coltsfootrack/cell/table_follower.hpp>
 #include <coltsfootrack/cell/ticket_dispatcher.hpp>
+#include <coltsfootrack/cell/traffic_log.hpp>
 #include <coltsfootrack/cell/worker_relay.hpp>
 #include <coltsfootrack/daemon/control_loop.hpp>
 #include <coltsfootrack/daemon/metrics.hpp>
@@ -191,6 +192,7 @@
     void record_store_result(bool answered, std::chrono::milliseconds delay);
     void detect_unresponsive_store();
     void detect_isolation();
+    void log_traffic();
     void publish_waiting(const std::map<std::string, int>& counts);
 
     cell_options options_;
@@ -218,6 +220,7 @@
     bool claiming_ = false;
     catalogue_catch_up catalogue_catch_up_;
     std::uint64_t status_round_ = 0;
+    traffic_log traffic_log_;
     bool store_up_ = false;
     base::time_point store_answered_at_;
     // Neither the store nor more than half of the cell is reachable.
--- a/include/coltsfootrack/http/async_client.hpp
+++ b/include/coltsfootrack/http/async_client.hpp
@@ -4,11 +4,13 @@
 #include <coltsfootrack/http/call_options.hpp>
 #include <coltsfootrack/http/client_options.hpp>
 #include <coltsfootrack/http/client_result.hpp>
+#include <coltsfootrack/http/client_traffic.hpp>
 #include <coltsfootrack/http/request.hpp>
 
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -52,6 +54,9 @@
     void send(const std::string& address, request message,
               std::chrono::milliseconds total_timeout, callback done);
 
+    // The bytes of all calls that have ended, by the path of the request.
+    std::map<std::string, client_traffic> traffic() const;
+
     // The number of calls that have not ended, queued ones included.
     std::size_t in_flight() const;
 
--- a/include/coltsfootrack/wire/frame_decoder.hpp
+++ b/include/coltsfootrack/wire/frame_decoder.hpp
@@ -4,6 +4,8 @@
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
 #include <cstddef>
+#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,10 +20,15 @@
 constexpr std::size_t frame_prefix_bytes = 4;
 
 // The body preceded by its length as a 4-byte big-endian number; peer_protocol
-// if the body is empty or larger than max_frame_bytes.
-absl::StatusOr<std::string> encode_frame(std::string_view body);
+// if the body is empty or larger than max_frame_bytes. The highest bit of the
+// prefix tells that the body is compressed, as the next part of the deflate
+// stream of its connection.
+absl::StatusOr<std::string> encode_frame(std::string_view body,
+                                         bool compressed = false);
 
-// Splits the byte stream of one connection into frames.
+class frame_decompressor;
+
+// Splits the byte stream of one connection into frames, and decompresses them.
 //
 //     frame_decoder decoder;
 //     decoder.append(bytes);
@@ -40,6 +47,11 @@
 class frame_decoder
 {
 public:
+    frame_decoder();
+    ~frame_decoder();
+    frame_decoder(frame_decoder&& other) noexcept;
+    frame_decoder& operator=(frame_decoder&& other) noexcept;
+
     // Adds bytes received from the connection.
     void append(std::string_view bytes);
 
@@ -54,9 +66,18 @@
     // Bytes held and not yet returned.
     std::size_t buffered() const;
 
+    // The bytes of all frames returned so far, as received.
+    std::uint64_t consumed() const
+    {
+        return consumed_;
+    }
+
 private:
     std::string buffer_;
     std::size_t begin_ = 0;
+    std::uint64_t consumed_ = 0;
+    // Set by the first compressed frame.
+    std::unique_ptr<frame_decompressor> decompressor_;
     absl::Status error_;
 };
 
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -295,7 +295,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_DAEMON = 4,
     VT_INCARNATION = 6,
-    VT_ZONE = 8
+    VT_ZONE = 8,
+    VT_ACCEPTS_COMPRESSION = 10
   };
   const flatbuffers::String *daemon() const {
     return GetPointer<const flatbuffers::String *>(VT_DAEMON);
@@ -306,6 +307,9 @@
   const flatbuffers::String *zone() const {
     return GetPointer<const flatbuffers::String *>(VT_ZONE);
   }
+  bool accepts_compression() const {
+    return GetField<uint8_t>(VT_ACCEPTS_COMPRESSION, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_DAEMON) &&
@@ -313,6 +317,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyOffsetRequired(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTS_COMPRESSION, 1) &&
            verifier.EndTable();
   }
 };
@@ -330,6 +335,9 @@
   void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
     fbb_.AddOffset(Hello::VT_ZONE, zone);
   }
+  void add_accepts_compression(bool accepts_compression) {
+    fbb_.AddElement<uint8_t>(Hello::VT_ACCEPTS_COMPRESSION, static_cast<uint8_t>(accepts_compression), 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -347,11 +355,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> daemon = 0,
     uint64_t incarnation = 0,
-    flatbuffers::Offset<flatbuffers::String> zone = 0) {
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool accepts_compression = false) {
   HelloBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_zone(zone);
   builder_.add_daemon(daemon);
+  builder_.add_accepts_compression(accepts_compression);
   return builder_.Finish();
 }
 
@@ -359,14 +369,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *daemon = nullptr,
     uint64_t incarnation = 0,
-    const char *zone = nullptr) {
+    const char *zone = nullptr,
+    bool accepts_compression = false) {
   auto daemon__ = daemon ? _fbb.CreateString(daemon) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return coltsfootrack::wire::fb::CreateHello(
       _fbb,
       daemon__,
       incarnation,
-      zone__);
+      zone__,
+      accepts_compression);
 }
 
 struct Heartbeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -20,6 +20,9 @@
 // The most events from callers that may be queued for the control thread.
 constexpr std::size_t max_events = 4096;
 
+// How often the traffic of the VM's link is logged.
+constexpr std::chrono::seconds traffic_period{10};
+
 // The leader sends the queue counts with its status; older ones are not
 // reported.
 constexpr std::chrono::seconds max_count_age{4};
@@ -66,7 +69,7 @@
 absl::Status cell_daemon::start()
 {
     wire::peer_links_options links;
-    links.self = {options_.daemon, options_.incarnation, options_.zone};
+    links.self = {options_.daemon, options_.incarnation, options_.zone, true};
     links.listen_address = options_.address;
     links.listen_port = options_.peer_port;
     // A peer counts as disconnected after six missed statuses.
@@ -119,6 +122,7 @@
             follow_catalogue();
         });
     loop_.every(options_.status_period, [this] { send_periodic_status(); });
+    loop_.every(traffic_period, [this] { log_traffic(); });
     loop_.every(options_.round_period,
                 [this]
                 {
@@ -289,6 +293,34 @@
     }
 }
 
+void cell_daemon::log_traffic()
+{
+    std::map<std::string, byte_counts> totals =
+        ports_.traffic ? ports_.traffic()
+                       : std::map<std::string, byte_counts>();
+    const wire::peer_traffic peers = links_->traffic();
+    for (std::size_t i = 0; i < wire::message_type_count; ++i)
+    {
+        const auto name = wire::name_of(static_cast<wire::message_type>(i));
+        totals["peer_" + std::string(name)] = {peers.sent[i].bytes,
+                                               peers.received[i].bytes};
+    }
+    for (const auto& [purpose, counts] : totals)
+    {
+        metrics_.set_value("bytes_sent_" + purpose,
+                           static_cast<double>(counts.sent));
+        metrics_.set_value("bytes_received_" + purpose,
+                           static_cast<double>(counts.received));
+    }
+    const std::string fields = traffic_log_.next_fields(totals);
+    if (!fields.empty())
+    {
+        base::log(base::log_level::info, log_part,
+                  "Bytes over the link. seconds={} {}", traffic_period.count(),
+                  fields);
+    }
+}
+
 void cell_daemon::detect_isolation()
 {
     const bool store_lost =
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -137,6 +137,12 @@
         return in_flight_.load();
     }
 
+    std::map<std::string, client_traffic> traffic() const
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        return traffic_;
+    }
+
 private:
     // CURLMOPT_SOCKETFUNCTION: changes the events to wait for on a socket.
     static int on_socket(CURL* /*handle*/, curl_socket_t socket, int what,
@@ -358,6 +364,7 @@
         std::unique_ptr<call> ended = std::move(found->second);
         running_.erase(found);
         deadlines_.erase(ended->deadline);
+        count_bytes(handle, *ended);
         client_result result =
             result_of(handle, code, ended->message, ended->current);
         curl_multi_remove_handle(multi_, handle);
@@ -366,6 +373,15 @@
         run_callback(*ended, std::move(result));
     }
 
+    void count_bytes(CURL* handle, const call& ended)
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        client_traffic& counts = traffic_[ended.message.path];
+        counts.sent += bytes_sent(handle, ended.message);
+        counts.received +=
+            ended.current.header_bytes + ended.current.answer.body.size();
+    }
+
     void run_callback(call& ended, client_result result)
     {
         --in_flight_;
@@ -409,8 +425,9 @@
     CURLM* multi_ = nullptr;
     std::atomic<bool> stopping_{false};
     std::atomic<std::size_t> in_flight_{0};
-    std::mutex mutex_;
+    mutable std::mutex mutex_;
     std::vector<std::unique_ptr<call>> queued_;
+    std::map<std::string, client_traffic> traffic_;
     // The members below are used only by the thread.
     std::map<CURL*, std::unique_ptr<call>> running_;
     std::multimap<steady::time_point, CURL*> deadlines_;
@@ -448,6 +465,11 @@
     send(address, std::move(message), options, std::move(done));
 }
 
+std::map<std::string, client_traffic> async_client::traffic() const
+{
+    return impl_->traffic();
+}
+
 std::size_t async_client::in_flight() const
 {
     return impl_->in_flight();
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -76,6 +76,7 @@
     value.daemon = fields.id<base::daemon_id>(m.daemon(), "daemon");
     value.incarnation = m.incarnation();
     value.zone = fields.id<base::zone_id>(m.zone(), "zone");
+    value.accepts_compression = m.accepts_compression();
     return fields.result(std::move(value));
 }
 
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -50,8 +50,9 @@
     {
         const auto daemon = text(builder, m.daemon);
         const auto zone = text(builder, m.zone);
-        return {fb::Body::Hello,
-                fb::CreateHello(builder, daemon, m.incarnation, zone).Union()};
+        return {fb::Body::Hello, fb::CreateHello(builder, daemon, m.incarnation,
+                                                 zone, m.accepts_compression)
+                                     .Union()};
     }
 
     encoded_body operator()(const heartbeat& m) const
--- a/src/wire/frame_decoder.cpp
+++ b/src/wire/frame_decoder.cpp
@@ -2,6 +2,8 @@
 
 #include <coltsfootrack/wire/frame_decoder.hpp>
 
+#include "frame_compression.hpp"
+
 #include <coltsfootrack/base/error_kind.hpp>
 
 #include <cstdint>
@@ -12,6 +14,14 @@
 namespace
 {
 
+// The bit of the first byte of a prefix that marks a compressed body.
+constexpr unsigned compressed_flag = 0x80;
+
+bool is_compressed(const char* prefix)
+{
+    return (static_cast<unsigned char>(*prefix) & compressed_flag) != 0;
+}
+
 std::size_t read_length(const char* prefix)
 {
     std::uint32_t length = 0;
@@ -19,7 +29,7 @@
     {
         length = (length << 8U) | static_cast<unsigned char>(prefix[i]);
     }
-    return length;
+    return length & ~(compressed_flag << 24U);
 }
 
 absl::Status check_length(std::size_t length)
@@ -36,7 +46,7 @@
 
 } // namespace
 
-absl::StatusOr<std::string> encode_frame(std::string_view body)
+absl::StatusOr<std::string> encode_frame(std::string_view body, bool compressed)
 {
     if (absl::Status status = check_length(body.size()); !status.ok())
     {
@@ -49,9 +59,20 @@
         frame.push_back(static_cast<char>(body.size() >> (8 * (i - 1))));
     }
     frame.append(body);
+    if (compressed)
+    {
+        frame.front() = static_cast<char>(
+            static_cast<unsigned char>(frame.front()) | compressed_flag);
+    }
     return frame;
 }
 
+frame_decoder::frame_decoder() = default;
+frame_decoder::~frame_decoder() = default;
+frame_decoder::frame_decoder(frame_decoder&& other) noexcept = default;
+frame_decoder&
+frame_decoder::operator=(frame_decoder&& other) noexcept = default;
+
 void frame_decoder::append(std::string_view bytes)
 {
     if (begin_ == buffer_.size())
@@ -73,6 +94,7 @@
         return std::optional<std::string>();
     }
     const std::size_t length = read_length(buffer_.data() + begin_);
+    const bool compressed = is_compressed(buffer_.data() + begin_);
     error_ = check_length(length);
     if (!error_.ok())
     {
@@ -89,7 +111,22 @@
     std::optional<std::string> body(
         buffer_.substr(begin_ + frame_prefix_bytes, length));
     begin_ += frame_prefix_bytes + length;
-    return body;
+    consumed_ += frame_prefix_bytes + length;
+    if (!compressed)
+    {
+        return body;
+    }
+    if (decompressor_ == nullptr)
+    {
+        decompressor_ = std::make_unique<frame_decompressor>();
+    }
+    auto plain = decompressor_->decompress(*body, max_frame_bytes);
+    if (!plain.ok())
+    {
+        error_ = plain.status();
+        return error_;
+    }
+    return std::optional<std::string>(*std::move(plain));
 }
 
 absl::Status frame_decoder::finish() const
--- a/src/wire/incoming_link.cpp
+++ b/src/wire/incoming_link.cpp
@@ -68,6 +68,7 @@
 {
     for (;;)
     {
+        const std::uint64_t consumed = decoder_.consumed();
         auto frame = decoder_.next();
         if (!frame.ok())
         {
@@ -85,7 +86,7 @@
         auto& counts =
             traffic.received[static_cast<std::size_t>(type_of(*value))];
         ++counts.messages;
-        counts.bytes += frame_prefix_bytes + (*frame)->size();
+        counts.bytes += decoder_.consumed() - consumed;
         const bool is_hello = std::holds_alternative<hello>(*value);
         if (is_hello == peer_.has_value())
         {
--- a/src/wire/outgoing_link.cpp
+++ b/src/wire/outgoing_link.cpp
@@ -4,20 +4,26 @@
 
 #include "sockets.hpp"
 
+#include <coltsfootrack/wire/frame_decoder.hpp>
+
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <poll.h>
 #include <sys/socket.h>
-#include <sys/uio.h>
 
 namespace coltsfootrack::wire
 {
 namespace
 {
 
-// Frames passed to the operating system in one call.
-constexpr std::size_t max_batch_frames = 64;
+// Frames are passed to the operating system once they are this long together.
+constexpr std::size_t max_buffer_bytes = std::size_t(64) * 1024;
+
+// The first frame of this size starts the compression of a connection, which
+// takes memory; statuses alone are shorter. Very long frames are not
+// compressed, so that none becomes longer than allowed.
+constexpr std::size_t min_compressed = 256;
+constexpr std::size_t max_compressed = max_frame_bytes / 2;
 
 // A connection that lasted this long resets the back-off. A shorter one counts
 // as a failure, so that a peer which accepts and closes is retried more slowly.
@@ -52,7 +58,7 @@
             return false;
         }
     }
-    if (queue_.empty())
+    if (!has_unsent())
     {
         last_progress_ = now;
     }
@@ -63,10 +69,8 @@
 
 bool outgoing_link::drop_heartbeat(peer_traffic& traffic)
 {
-    // The first frame may be partly sent, so it must stay.
-    const auto first = queue_.begin() + (front_bytes_sent_ > 0 ? 1 : 0);
     const auto found =
-        std::find_if(first, queue_.end(),
+        std::find_if(queue_.begin(), queue_.end(),
                      [](const queued_frame& entry)
                      { return entry.type == message_type::heartbeat; });
     if (found == queue_.end())
@@ -115,8 +119,8 @@
     case state::open:
         break;
     }
-    return queue_.empty() ? base::time_point::max()
-                          : last_progress_ + options_->idle_timeout;
+    return has_unsent() ? last_progress_ + options_->idle_timeout
+                        : base::time_point::max();
 }
 
 short outgoing_link::poll_events() const
@@ -130,7 +134,7 @@
     case state::open:
         break;
     }
-    return static_cast<short>(queue_.empty() ? POLLIN : POLLIN | POLLOUT);
+    return static_cast<short>(has_unsent() ? POLLIN | POLLOUT : POLLIN);
 }
 
 void outgoing_link::handle(
@@ -180,47 +184,68 @@
     }
 }
 
+bool outgoing_link::has_unsent() const
+{
+    return buffer_sent_ < buffer_.size() || !queue_.empty();
+}
+
+std::string outgoing_link::encoded(const std::string& frame)
+{
+    const std::string_view body =
+        std::string_view(frame).substr(frame_prefix_bytes);
+    const bool starts = compressor_ == nullptr && body.size() >= min_compressed;
+    if (!may_compress_ || body.size() > max_compressed ||
+        (compressor_ == nullptr && !starts))
+    {
+        return frame;
+    }
+    if (starts)
+    {
+        compressor_ = std::make_unique<frame_compressor>();
+    }
+    return *encode_frame(compressor_->compress(body), true);
+}
+
+// Frames are compressed only now, since those in the queue may be dropped.
+void outgoing_link::fill_buffer()
+{
+    buffer_.clear();
+    buffer_sent_ = 0;
+    while (!queue_.empty() && buffer_.size() < max_buffer_bytes)
+    {
+        const queued_frame next = std::move(queue_.front());
+        queue_.pop_front();
+        queued_bytes_ -= next.frame->size();
+        const std::string frame = encoded(*next.frame);
+        buffer_ += frame;
+        buffered_.push_back({next.type, frame.size(), buffer_.size()});
+    }
+}
+
 bool outgoing_link::write_queue(base::time_point now, peer_traffic& traffic)
 {
-    while (!queue_.empty())
+    while (has_unsent())
     {
-        std::array<iovec, max_batch_frames> parts{};
-        std::size_t count = 0;
-        for (const queued_frame& entry : queue_)
+        if (buffer_sent_ == buffer_.size())
         {
-            if (count == max_batch_frames)
-            {
-                break;
-            }
-            const std::size_t skip = count == 0 ? front_bytes_sent_ : 0;
-            // sendmsg does not write to the buffers.
-            parts[count].iov_base =
-                const_cast<char*>(entry.frame->data()) + skip;
-            parts[count].iov_len = entry.frame->size() - skip;
-            ++count;
+            fill_buffer();
         }
-        msghdr header{};
-        header.msg_iov = parts.data();
-        header.msg_iovlen = count;
         const ssize_t sent =
-            sendmsg(socket_.descriptor(), &header, MSG_NOSIGNAL);
+            ::send(socket_.descriptor(), buffer_.data() + buffer_sent_,
+                   buffer_.size() - buffer_sent_, MSG_NOSIGNAL);
         if (sent < 0)
         {
             return errno == EAGAIN || errno == EINTR;
         }
         last_progress_ = now;
-        front_bytes_sent_ += static_cast<std::size_t>(sent);
-        while (!queue_.empty() &&
-               front_bytes_sent_ >= queue_.front().frame->size())
+        buffer_sent_ += static_cast<std::size_t>(sent);
+        while (!buffered_.empty() && buffered_.front().end <= buffer_sent_)
         {
-            const queued_frame& done = queue_.front();
-            const std::size_t size = done.frame->size();
-            auto& counts = traffic.sent[static_cast<std::size_t>(done.type)];
+            auto& counts =
+                traffic.sent[static_cast<std::size_t>(buffered_.front().type)];
             ++counts.messages;
-            counts.bytes += size;
-            front_bytes_sent_ -= size;
-            queued_bytes_ -= size;
-            queue_.pop_front();
+            counts.bytes += buffered_.front().size;
+            buffered_.pop_front();
         }
     }
     return true;
@@ -236,7 +261,10 @@
     socket_.reset();
     queue_.clear();
     queued_bytes_ = 0;
-    front_bytes_sent_ = 0;
+    buffer_.clear();
+    buffered_.clear();
+    buffer_sent_ = 0;
+    compressor_.reset();
     state_ = state::waiting;
     // 2^16 times the first back-off exceeds any useful maximum.
     const std::uint32_t shift = std::min<std::uint32_t>(failures_, 16);
--- a/src/wire/outgoing_link.hpp
+++ b/src/wire/outgoing_link.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_WIRE_OUTGOING_LINK_HPP_INCLUDED
 #define COLTSFOOTRACK_WIRE_OUTGOING_LINK_HPP_INCLUDED
 
+#include "frame_compression.hpp"
 #include "socket_handle.hpp"
 
 #include <coltsfootrack/base/clock.hpp>
@@ -48,6 +49,12 @@
                  const std::shared_ptr<const std::string>& frame,
                  base::time_point now, peer_traffic& traffic);
 
+    // Whether the peer can read compressed frames.
+    void allow_compression(bool allowed)
+    {
+        may_compress_ = allowed;
+    }
+
     // Connects if the back-off has passed, and closes a link that timed out.
     void maintain(base::time_point now, const base::random_source& random);
 
@@ -86,7 +93,19 @@
         std::shared_ptr<const std::string> frame;
     };
 
+    // A frame in buffer_, to be counted once it is sent.
+    struct buffered_frame
+    {
+        message_type type;
+        std::size_t size;
+        // Its end in buffer_.
+        std::size_t end;
+    };
+
     bool drop_heartbeat(peer_traffic& traffic);
+    bool has_unsent() const;
+    void fill_buffer();
+    std::string encoded(const std::string& frame);
     bool write_queue(base::time_point now, peer_traffic& traffic);
 
     peer_address address_;
@@ -95,8 +114,14 @@
     socket_handle socket_;
     std::deque<queued_frame> queue_;
     std::size_t queued_bytes_ = 0;
-    // Bytes of the first queued frame that were already sent.
-    std::size_t front_bytes_sent_ = 0;
+    // Frames on their way to the operating system, as they are sent, and how
+    // many of their bytes were.
+    std::string buffer_;
+    std::deque<buffered_frame> buffered_;
+    std::size_t buffer_sent_ = 0;
+    bool may_compress_ = false;
+    // Set by the first frame that is worth it.
+    std::unique_ptr<frame_compressor> compressor_;
     std::uint32_t failures_ = 0;
     // When to connect next, in state::waiting.
     base::time_point next_connect_;
--- a/src/wire/peer_links_impl.cpp
+++ b/src/wire/peer_links_impl.cpp
@@ -388,6 +388,7 @@
         close_incoming(*found->second.in);
     }
     found->second.in = &link;
+    found->second.out.allow_compression(first.accepts_compression);
     return true;
 }
 
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -156,7 +156,7 @@
     {
     case 0:
         return hello{any_id<base::daemon_id>(), any_number(),
-                     any_id<base::zone_id>()};
+                     any_id<base::zone_id>(), *rc::gen::arbitrary<bool>()};
     case 1:
         return heartbeat{any_number(), any_age(),
                          any_number(), any_number(),
--- a/test/wire/peer_links_test.cpp
+++ b/test/wire/peer_links_test.cpp
@@ -28,11 +28,13 @@
 public:
     explicit node(const std::string& name, std::uint64_t incarnation = 1,
                   std::uint16_t port = 0, std::size_t queue = 1024,
-                  std::chrono::milliseconds idle = std::chrono::seconds(20))
+                  std::chrono::milliseconds idle = std::chrono::seconds(20),
+                  bool accepts_compression = false)
         : id(name)
     {
         peer_links_options options;
-        options.self = {id, incarnation, base::zone_id("a1")};
+        options.self = {id, incarnation, base::zone_id("a1"),
+                        accepts_compression};
         options.listen_port = port;
         options.max_queued_messages = queue;
         options.min_backoff = std::chrono::milliseconds(10);
@@ -141,6 +143,7 @@
     CPPUNIT_TEST(faulty_incoming_connection_closed_and_others_served);
     CPPUNIT_TEST(start_bad_settings_refused);
     CPPUNIT_TEST(traffic_counts_match_on_both_sides);
+    CPPUNIT_TEST(frames_are_compressed_only_for_peer_that_accepts);
     CPPUNIT_TEST_SUITE_END();
 
     static void connect(node& a, node& b)
@@ -417,6 +420,35 @@
         CPPUNIT_ASSERT(!a.links->set_peers({a.address(), a.address()}).ok());
     }
 
+    // Guards against compressed frames to a daemon of a former version, and
+    // against counts of bytes that the link did not carry.
+    void frames_are_compressed_only_for_peer_that_accepts()
+    {
+        const auto idle = std::chrono::seconds(20);
+        node a("a", 1, 0, 1024, idle, true);
+        node b("b", 1, 0, 1024, idle, false);
+        connect(a, b);
+        const job_copy copy{base::job_id("j"), std::string(2000, 'x')};
+        const auto type = std::size_t(message_type::job_copy);
+        for (int i = 0; i < 20; ++i)
+        {
+            CPPUNIT_ASSERT(a.links->send(b.id, copy));
+            CPPUNIT_ASSERT(b.links->send(a.id, copy));
+        }
+        CPPUNIT_ASSERT(eventually(
+            [&] {
+                return a.messages(b.id).size() == 20 &&
+                       b.messages(a.id).size() == 20;
+            }));
+        CPPUNIT_ASSERT(std::get<job_copy>(a.messages(b.id).back()) == copy);
+        const std::uint64_t to_b = b.links->traffic().received[type].bytes;
+        const std::uint64_t to_a = a.links->traffic().received[type].bytes;
+        CPPUNIT_ASSERT_EQUAL(a.links->traffic().sent[type].bytes, to_b);
+        CPPUNIT_ASSERT_EQUAL(b.links->traffic().sent[type].bytes, to_a);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(20 * frame_of(copy).size()), to_b);
+        CPPUNIT_ASSERT(20 * to_a < to_b);
+    }
+
     void traffic_counts_match_on_both_sides()
     {
         node a("a");
