Wake a worker's renewal only when its own ends are stored

Cause: each stored change of any job made the leader renew every worker that no renewal was waiting at, so that it could forget its ends. A worker whose ends were not stored yet answered at once with the same list, several times until they were. On a thin link these frames took the place of starts.

Change: a stored change wakes only workers with more to acknowledge than their last renewal had.

The new test counted 25 renewals before, where 12 are allowed.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -108,6 +108,8 @@
     {
         bool in_flight = false;
         base::time_point next_at;
+        // The ends acknowledged by the last renewal.
+        std::uint64_t acknowledged = 0;
         // A probe, which does not wait for an end, is in flight as well.
         bool probing = false;
     };
@@ -151,6 +153,7 @@
     void remove_rows(std::size_t part, std::vector<base::job_id> ids);
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker);
+    void acknowledge_ends();
     void renew_all();
     void renew(const base::worker_id& id, renewal_state& state);
     void probe_worker(const base::worker_id& id);
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -309,16 +309,26 @@
                 return;
             }
             fleet_.on_saved(job, change, clock_.now());
-            // Tells the workers at once which ends they may forget.
-            const base::time_point now = clock_.now();
-            for (auto& [id, state] : renewals_)
-            {
-                state.next_at = std::min(state.next_at, now);
-            }
+            acknowledge_ends();
             request_round();
         });
 }
 
+// Tells workers at once which ends they may forget. A worker lists its ends
+// until then, and does not wait with its answers; one whose ends are not stored
+// yet learns nothing from a further renewal.
+void leadership::acknowledge_ends()
+{
+    const base::time_point now = clock_.now();
+    for (auto& [id, state] : renewals_)
+    {
+        if (fleet_.acknowledged(id) > state.acknowledged)
+        {
+            state.next_at = std::min(state.next_at, now);
+        }
+    }
+}
+
 // An isolated leader grants no lease: the next leader assumes, seconds after
 // taking over, that all leases of this one have expired, even at workers that
 // only this one reaches.
@@ -370,6 +380,7 @@
     request.direct = worker.unresponsive;
     request.send_by = now + options_.send_limit;
     state.in_flight = true;
+    state.acknowledged = request.acknowledged;
     ports_.workers.renew(worker.listing, request,
                          posted<renewal_result>(
                              [this, id, now](renewal_result result)
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -142,6 +142,14 @@
     {
         renewal_result result;
         result.report.life = 1;
+        ++renewal_counts_[worker.worker.text()];
+        for (const fleet::run_end& end : reported_ends_[worker.worker.text()])
+        {
+            if (end.number > renewal.acknowledged)
+            {
+                result.report.ended.push_back(end);
+            }
+        }
         leases_ += renewal.lease_end ? 1 : 0;
         unstored_worker_used_ =
             unstored_worker_used_ || !is_stored(worker.worker);
@@ -191,10 +199,44 @@
                 { answer_follow(table, after, attempts - 1, done); });
 }
 
+void leadership_harness::report_end(const std::string& worker,
+                                    const std::string& job)
+{
+    std::vector<fleet::run_end>& ends = reported_ends_[worker];
+    fleet::run_end end;
+    end.number = ends.size() + 1;
+    end.task = {{base::job_id(job), 0, 0}, 0};
+    end.run = (leadership_->epoch() - 1) * 1000 + 1;
+    end.kind = fleet::end_kind::done;
+    ends.push_back(end);
+}
+
+void leadership_harness::hold_writes(const std::string& job, bool held)
+{
+    const std::size_t part = layout_.part_of(base::job_id(job));
+    if (held)
+    {
+        held_parts_.insert(part);
+        return;
+    }
+    held_parts_.erase(part);
+}
+
+bool leadership_harness::same_part(const std::string& a,
+                                   const std::string& b) const
+{
+    return layout_.part_of(base::job_id(a)) == layout_.part_of(base::job_id(b));
+}
+
 void leadership_harness::commit()
 {
-    for (row_committer& committer : committers_)
+    for (std::size_t part = 0; part < committers_.size(); ++part)
     {
+        if (held_parts_.count(part) != 0)
+        {
+            continue;
+        }
+        row_committer& committer = committers_[part];
         if (const auto next = committer.next(clock_.now()))
         {
             committer.on_result(store_.apply(*next), clock_.now());
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -7,6 +7,7 @@
 #include <coltsfootrack/cell/leadership.hpp>
 
 #include <future>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -39,6 +40,23 @@
     // does not answer.
     void put_used_worker(const std::string& id);
 
+    // From now on the reports of a worker list the end of the first task of a
+    // job. Call inside run().
+    void report_end(const std::string& worker, const std::string& job);
+
+    // Whether the writes of the part of a job are held back. Call inside run().
+    void hold_writes(const std::string& job, bool held);
+
+    // Whether two jobs are stored in the same part.
+    bool same_part(const std::string& a, const std::string& b) const;
+
+    // The renewals of a worker so far. Call inside run().
+    int renewals(const std::string& worker) const
+    {
+        const auto found = renewal_counts_.find(worker);
+        return found == renewal_counts_.end() ? 0 : found->second;
+    }
+
     // Whether a lease was granted to a worker that no stored row named. Call
     // inside run().
     bool unstored_worker_used() const
@@ -134,6 +152,9 @@
     daemon::metrics metrics_;
     fake_store store_;
     std::set<std::string> unresponsive_;
+    std::map<std::string, std::vector<fleet::run_end>> reported_ends_;
+    std::map<std::string, int> renewal_counts_;
+    std::set<std::size_t> held_parts_;
     std::vector<fleet::start_order> starts_;
     int tasks_ = 1;
     fleet::order_outcome start_outcome_ = fleet::order_outcome::carried_out;
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_is_read);
     CPPUNIT_TEST(leader_inherited_job_waits_for_used_worker_off_the_list);
     CPPUNIT_TEST(leader_worker_is_stored_before_it_is_used);
+    CPPUNIT_TEST(leader_worker_with_unstored_end_is_not_asked_at_each_write);
     CPPUNIT_TEST(leader_isolated_grants_no_lease_and_starts_nothing);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
     CPPUNIT_TEST(leader_final_job_is_removed_after_retention);
@@ -168,6 +169,47 @@
         harness.run([&] { CPPUNIT_ASSERT(!harness.unstored_worker_used()); });
     }
 
+    // The load that it answers: many jobs end while the end of one is not
+    // stored yet. Each renewal costs a thin link two frames and tells nothing
+    // new.
+    void leader_worker_with_unstored_end_is_not_asked_at_each_write()
+    {
+        leadership_harness harness(epoch);
+        harness.add_worker("w1", true);
+        harness.add_worker("w2", true);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        harness.send_job("held", epoch);
+        CPPUNIT_ASSERT(harness.wait_started("held", soon));
+        harness.run(
+            [&]
+            {
+                harness.hold_writes("held", true);
+                harness.report_end("w1", "held");
+            });
+        int before = 0;
+        harness.run([&] { before = harness.renewals("w1"); });
+        constexpr int jobs = 60;
+        int sent = 0;
+        for (int i = 0; sent < jobs; ++i)
+        {
+            const std::string id = "job-" + std::to_string(i);
+            if (harness.same_part(id, "held"))
+            {
+                continue;
+            }
+            ++sent;
+            harness.send_job(id, epoch);
+            harness.run([&] { harness.report_end("w2", id); });
+            std::this_thread::sleep_for(milliseconds(10));
+        }
+        int asked = 0;
+        harness.run([&] { asked = harness.renewals("w1") - before; });
+        // The pause between renewals is 250 ms.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(asked), asked <= 12);
+        harness.run([&] { harness.hold_writes("held", false); });
+    }
+
     // Guards against two runs of a task: the next leader assumes that leases of
     // a leader that was isolated along with its workers have expired.
     void leader_isolated_grants_no_lease_and_starts_nothing()
