Empty the rows of final jobs, and report no counts before the jobs are loaded

Change: once the final state of a job is stored, its row is emptied in one of the next writes of its part. The row stays, so the same submission is not accepted again. A successor takes the state over from the progress row. A separate table for final jobs would make the takeover independent of their number, but each submission would depend on a second row, and an end of such a job would hold up its worker.

Change: a status says whether the counts are known.

The new tests were not run on the former code, which has neither of the two functions.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -149,6 +149,7 @@
     void carry_out(const fleet::pace_order& order);
     void carry_out(const fleet::ticket_order& order);
     void carry_out(const fleet::save_order& order);
+    void empty_final_job(const base::job_id& id);
     void remove_final_jobs();
     void remove_rows(std::size_t part, std::vector<base::job_id> ids);
     std::optional<std::chrono::milliseconds>
@@ -200,6 +201,8 @@
     std::map<base::job_id, jobs::job_progress> loaded_progress_;
     std::unique_ptr<table_follower> job_follower_;
     std::unique_ptr<table_follower> worker_follower_;
+    // The versions of the rows of jobs that are not final.
+    std::map<base::job_id, std::uint64_t> job_versions_;
     worker_roster roster_;
     // Listed workers that no stored row names yet; they are not used.
     std::map<base::worker_id, fleet::worker_listing> unstored_workers_;
--- a/include/coltsfootrack/cell/row_layout.hpp
+++ b/include/coltsfootrack/cell/row_layout.hpp
@@ -19,7 +19,8 @@
 // | cell     |            | leader      | a daemon that becomes the leader    |
 // | cell     |            | daemon/NAME | that daemon, when it starts         |
 // | cell     | job part   | fence       | a new leader, before it reads jobs  |
-// | jobs     | job part   | ID          | the daemon that accepted the job    |
+// | jobs     | job part   | ID          | the daemon that accepted the job;   |
+// |          |            |             | emptied by the leader once final    |
 // | jobs     | job part   | ID!         | the daemon that accepted the cancel |
 // | progress | job part   | ID          | the leader, if the fence is its own |
 // | progress | job part   | !workers    | the same; see worker_roster         |
--- a/include/coltsfootrack/wire/cell_status.hpp
+++ b/include/coltsfootrack/wire/cell_status.hpp
@@ -35,7 +35,9 @@
     // The sender's monotonic clock when it sent the status. Others send it back
     // plus the time that has passed since; it means nothing else to them.
     std::optional<std::chrono::milliseconds> clock;
-    // Sent by the leader only.
+    // Whether the sender is a leader that has loaded all jobs, so that a queue
+    // not in the list is empty.
+    bool queues_known = false;
     std::vector<queue_count> queues;
 
     friend bool operator==(const cell_status& a, const cell_status& b)
@@ -46,7 +48,7 @@
                a.store_delay == b.store_delay &&
                a.catalogue_version == b.catalogue_version &&
                a.queues == b.queues && a.processor_milli == b.processor_milli &&
-               a.clock == b.clock;
+               a.clock == b.clock && a.queues_known == b.queues_known;
     }
 
     friend bool operator!=(const cell_status& a, const cell_status& b)
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -1144,7 +1144,8 @@
     VT_CATALOGUE_VERSION = 18,
     VT_QUEUES = 20,
     VT_PROCESSOR_MILLI = 22,
-    VT_CLOCK_MS = 24
+    VT_CLOCK_MS = 24,
+    VT_QUEUES_KNOWN = 26
   };
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
@@ -1179,6 +1180,9 @@
   int64_t clock_ms() const {
     return GetField<int64_t>(VT_CLOCK_MS, -1LL);
   }
+  bool queues_known() const {
+    return GetField<uint8_t>(VT_QUEUES_KNOWN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
@@ -1195,6 +1199,7 @@
            verifier.VerifyVectorOfTables(queues()) &&
            VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
            VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_QUEUES_KNOWN, 1) &&
            verifier.EndTable();
   }
 };
@@ -1236,6 +1241,9 @@
   void add_clock_ms(int64_t clock_ms) {
     fbb_.AddElement<int64_t>(CellStatus::VT_CLOCK_MS, clock_ms, -1LL);
   }
+  void add_queues_known(bool queues_known) {
+    fbb_.AddElement<uint8_t>(CellStatus::VT_QUEUES_KNOWN, static_cast<uint8_t>(queues_known), 0);
+  }
   explicit CellStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1259,7 +1267,8 @@
     uint64_t catalogue_version = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues = 0,
     uint32_t processor_milli = 0,
-    int64_t clock_ms = -1LL) {
+    int64_t clock_ms = -1LL,
+    bool queues_known = false) {
   CellStatusBuilder builder_(_fbb);
   builder_.add_clock_ms(clock_ms);
   builder_.add_catalogue_version(catalogue_version);
@@ -1270,6 +1279,7 @@
   builder_.add_queues(queues);
   builder_.add_store_delay_ms(store_delay_ms);
   builder_.add_leader(leader);
+  builder_.add_queues_known(queues_known);
   builder_.add_stopping(stopping);
   builder_.add_leading(leading);
   return builder_.Finish();
@@ -1287,7 +1297,8 @@
     uint64_t catalogue_version = 0,
     const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues = nullptr,
     uint32_t processor_milli = 0,
-    int64_t clock_ms = -1LL) {
+    int64_t clock_ms = -1LL,
+    bool queues_known = false) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>(*queues) : 0;
   return coltsfootrack::wire::fb::CreateCellStatus(
@@ -1302,7 +1313,8 @@
       catalogue_version,
       queues__,
       processor_milli,
-      clock_ms);
+      clock_ms,
+      queues_known);
 }
 
 struct CatalogueCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -6,6 +6,7 @@
 #include <coltsfootrack/cell/member_row.hpp>
 #include <coltsfootrack/cell/page_budget.hpp>
 #include <coltsfootrack/cell/peer_time.hpp>
+#include <coltsfootrack/cell/queue_counts.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -292,6 +293,7 @@
     {
         const auto counts = leadership_->waiting_counts();
         publish_waiting(counts);
+        status.queues_known = true;
         for (const auto& [queue, count] : counts)
         {
             status.queues.push_back({queue, static_cast<std::uint32_t>(count)});
@@ -331,14 +333,10 @@
         links_->send(peer, wire::catalogue_request{known ? known->version : 0});
     }
     const auto& row = election_.row();
-    if (m.leading && row && row->daemon == peer && m.epoch == row->epoch)
+    const auto counts = queue_counts_of(m);
+    if (counts && row && row->daemon == peer && m.epoch == row->epoch)
     {
-        std::map<std::string, int> counts;
-        for (const wire::queue_count& count : m.queues)
-        {
-            counts[count.queue] = static_cast<int>(count.waiting);
-        }
-        publish_waiting(counts);
+        publish_waiting(*counts);
     }
 }
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -102,6 +102,14 @@
 
 void leadership::add_stored_job(const base::job_id& id, const std::string& row)
 {
+    const auto stored = loaded_progress_.find(id);
+    if (row.empty() && stored != loaded_progress_.end() &&
+        jobs::is_final(stored->second.state))
+    {
+        fleet_.add_job(id, jobs::job_submission(), stored->second, true,
+                       clock_.now(), clock_.wall());
+        return;
+    }
     const auto job = jobs::decode_submission(row);
     if (!job.ok())
     {
@@ -115,7 +123,6 @@
         report_lost("a job was stored under a later leader");
         return;
     }
-    const auto stored = loaded_progress_.find(id);
     fleet_.add_job(id, *job,
                    stored == loaded_progress_.end() ? jobs::job_progress()
                                                     : stored->second,
@@ -309,6 +316,11 @@
                 return;
             }
             fleet_.on_saved(job, change, clock_.now());
+            if (const auto state = fleet_.state_of(job);
+                state && jobs::is_final(*state))
+            {
+                empty_final_job(job);
+            }
             acknowledge_ends();
             request_round();
         });
--- a/src/cell/leadership_removal.cpp
+++ b/src/cell/leadership_removal.cpp
@@ -1,4 +1,4 @@
-// Removes final jobs and their rows after the retention time.
+// Empties the rows of final jobs, and removes them after the retention time.
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
@@ -16,6 +16,32 @@
 
 } // namespace
 
+// A successor needs only the state of a final job. Its row stays, so that the
+// same submission is not accepted again, but its text would be most of what a
+// takeover reads.
+void leadership::empty_final_job(const base::job_id& id)
+{
+    const auto version = job_versions_.find(id);
+    if (version == job_versions_.end())
+    {
+        return;
+    }
+    const std::size_t part = layout_.part_of(id);
+    const row_id row = layout_.job(id);
+    hooks_.committer(part).set_version(row, version->second);
+    job_versions_.erase(version);
+    hooks_.committer(part).update(row, "", false, clock_.now(),
+                                  [this, alive = std::weak_ptr<bool>(alive_),
+                                   part, row](write_status /*status*/)
+                                  {
+                                      if (!alive.expired())
+                                      {
+                                          hooks_.committer(part).forget_version(
+                                              row);
+                                      }
+                                  });
+}
+
 void leadership::remove_final_jobs()
 {
     if (!loaded_ || lost_)
@@ -79,6 +105,7 @@
                 {
                     hooks_.committer(part).forget_version(layout_.progress(id));
                     fleet_.forget_job(id);
+                    job_versions_.erase(id);
                 }
             }));
 }
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -281,6 +281,10 @@
             continue;
         }
         const base::job_id id(row.id.key);
+        if (!row.value.empty())
+        {
+            job_versions_[id] = row.version;
+        }
         if (fleet_.jobs().count(id) != 0)
         {
             continue;
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -228,6 +228,7 @@
     value.catalogue_version = m.catalogue_version();
     value.processor_milli = m.processor_milli();
     value.clock = fields.age(m.clock_ms());
+    value.queues_known = m.queues_known();
     overlap_check check(size);
     for (std::size_t i = 0; m.queues() != nullptr && i < m.queues()->size();
          ++i)
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -147,7 +147,7 @@
                     builder, m.epoch, leader, m.leading, m.stopping,
                     age_ms(m.store_age), age_ms(m.leader_age),
                     lease_ms(m.store_delay), m.catalogue_version, list,
-                    m.processor_milli, age_ms(m.clock))
+                    m.processor_milli, age_ms(m.clock), m.queues_known)
                     .Union()};
     }
 
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -322,6 +322,28 @@
     store_.put(layout_.progress(base::job_id(id)), jobs::encode(progress));
 }
 
+void leadership_harness::put_emptied(const std::string& id)
+{
+    put_completed(id);
+    store_.put(layout_.job(base::job_id(id)), "");
+}
+
+bool leadership_harness::wait_emptied(const std::string& job,
+                                      milliseconds limit)
+{
+    return wait_for(
+        [&] { return store_.value(layout_.job(base::job_id(job))) == ""; },
+        limit);
+}
+
+std::optional<jobs::job_state>
+leadership_harness::state_of(const std::string& job)
+{
+    std::optional<jobs::job_state> state;
+    run([&] { state = leadership_->state_of(base::job_id(job)); });
+    return state;
+}
+
 bool leadership_harness::wait_removed(const std::string& job,
                                       milliseconds limit)
 {
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -9,6 +9,7 @@
 #include <future>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -67,6 +68,15 @@
     // Stores the progress of a completed job.
     void put_completed(const std::string& id);
 
+    // Stores a completed job as the leader leaves it.
+    void put_emptied(const std::string& id);
+
+    // Waits until the row of a job is empty; false if the limit passes.
+    bool wait_emptied(const std::string& job, std::chrono::milliseconds limit);
+
+    // The state of a job as the leader tells callers.
+    std::optional<jobs::job_state> state_of(const std::string& job);
+
     // Waits until the store has no rows of a job; false if the limit passes.
     bool wait_removed(const std::string& job, std::chrono::milliseconds limit);
 
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -37,6 +37,8 @@
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
     CPPUNIT_TEST(leader_final_job_is_removed_after_retention);
     CPPUNIT_TEST(leader_unfinished_job_is_not_removed);
+    CPPUNIT_TEST(leader_final_job_leaves_empty_row);
+    CPPUNIT_TEST(leader_takes_over_state_of_emptied_job);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -268,6 +270,41 @@
         CPPUNIT_ASSERT(!harness.wait_removed("open", milliseconds(600)));
     }
 
+    // The load that it answers: a takeover on a thin link after thousands of
+    // jobs, most of them final.
+    void leader_final_job_leaves_empty_row()
+    {
+        leadership_harness harness(epoch);
+        harness.add_worker("w1", true);
+        harness.put_job("final", epoch - 1);
+        harness.put_job("open", epoch - 1);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_started("final", soon));
+        CPPUNIT_ASSERT(harness.wait_started("open", soon));
+        CPPUNIT_ASSERT(!harness.wait_emptied("final", milliseconds(300)));
+        harness.run([&] { harness.report_end("w1", "final"); });
+        CPPUNIT_ASSERT(harness.wait_emptied("final", milliseconds(3000)));
+        CPPUNIT_ASSERT(harness.state_of("final") == jobs::job_state::completed);
+        CPPUNIT_ASSERT(!harness.wait_emptied("open", milliseconds(50)));
+    }
+
+    // Guards against a final job that runs again, or that is not known any
+    // more.
+    void leader_takes_over_state_of_emptied_job()
+    {
+        leadership_harness harness(epoch, short_retention());
+        harness.add_worker("w1", true);
+        harness.put_emptied("final");
+        harness.put_job("open", epoch - 1);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_started("open", soon));
+        CPPUNIT_ASSERT(harness.state_of("final") == jobs::job_state::completed);
+        // A copy that was held up on its way.
+        harness.send_job("final", epoch - 1);
+        CPPUNIT_ASSERT(!harness.wait_started("final", milliseconds(200)));
+        CPPUNIT_ASSERT(harness.wait_removed("final", soon));
+    }
+
 private:
     static cell_options short_retention()
     {
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -61,6 +61,7 @@
     value.catalogue_version = any_number();
     value.processor_milli = *rc::gen::arbitrary<std::uint32_t>();
     value.clock = any_age();
+    value.queues_known = *rc::gen::arbitrary<bool>();
     const int queues = *rc::gen::inRange(0, 10);
     for (int i = 0; i < queues; ++i)
     {
