--- a/include/coltsfootrack/base/clock.hpp
+++ b/include/coltsfootrack/base/clock.hpp
@@ -6,8 +6,8 @@
 namespace coltsfootrack::base
 {
 
-// A point in the monotonic time of one VM. It is meaningless on another VM;
-// only durations may be sent to a peer.
+// A point in the monotonic time of one VM. It is meaningless on another VM,
+// which can only send it back, with a duration added; see cell/peer_time.hpp.
 using time_point = std::chrono::steady_clock::time_point;
 
 // A span of time. Messages between daemons carry milliseconds.
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -20,6 +20,10 @@
 // The most events from callers that may be queued for the control thread.
 constexpr std::size_t max_events = 4096;
 
+// The most connections of peers: two for each daemon of a cell of 500, since a
+// peer may connect again before its old connection is known to be lost.
+constexpr std::size_t max_peer_connections = 1000;
+
 // How often the traffic of the VM's link is logged.
 constexpr std::chrono::seconds traffic_period{10};
 
@@ -75,6 +79,7 @@
     // A peer counts as disconnected after six missed statuses.
     links.idle_timeout = 6 * options_.status_period;
     links.connect_timeout = std::chrono::milliseconds(600);
+    links.max_incoming = max_peer_connections;
     links.max_backoff = std::chrono::milliseconds(800);
     wire::peer_events events;
     events.on_message =
