Compress on thin links only, keep the clock of the quickest status, and do not

wait for workers that announced their departure

Change: a worker that announced its departure, is off the list and does not answer is removed from the stored ones at once; one that did not announce it is kept as before. No lease is granted to a worker that no stored row names. What was tried on the way and stays because it takes less: frames are compressed only by daemons with links of at most 5 Mbit/s, statuses that are handled late do not set a peer's clock back, and the leader's own calls may be sent for 1.2 s, when its peers take over, instead of 0.6 s.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -34,6 +34,10 @@
     // The rate of the VM's link, in bytes a second; 0 if unknown.
     std::uint64_t link_rate = 0;
 
+    // Frames to peers are compressed on links of at most this rate, in bytes a
+    // second (5 Mbit/s).
+    std::uint64_t compressed_link_rate = 625000;
+
     // The number of parts that jobs are spread over. A part runs the
     // transactions of all daemons one after another, each taking a third of a
     // second while the store is slow, so callers queue if there are few parts.
@@ -70,10 +74,10 @@
     // The pause between two renewals of a worker with ends that are not stored
     // yet.
     milliseconds renewal_pause{250};
-    // A start or renewal that was not sent to the worker within this time is
-    // not sent any more: a daemon that was paused meanwhile no longer knows
-    // whether its worker has restarted and forgotten the run.
-    milliseconds send_limit{600};
+    // A start or renewal that the leader has not sent to the worker within this
+    // time is not sent any more: peers take over from a leader that was paused
+    // for so long, and its worker may have restarted and forgotten the run.
+    milliseconds send_limit{1200};
     // The minimum time between two scheduling rounds, so that a burst of events
     // shares one.
     milliseconds min_round_interval{8};
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -155,6 +155,7 @@
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker);
     void acknowledge_ends();
+    void remove_departed(const base::worker_id& id);
     void renew_all();
     void renew(const base::worker_id& id, renewal_state& state);
     void probe_worker(const base::worker_id& id);
--- a/include/coltsfootrack/wire/peer_links_options.hpp
+++ b/include/coltsfootrack/wire/peer_links_options.hpp
@@ -19,6 +19,9 @@
     // The numeric address and port to listen on; port 0 chooses a free one.
     std::string listen_address = "127.0.0.1";
     std::uint16_t listen_port = 0;
+    // Whether frames are compressed for peers that accept it. Worth its
+    // processor time only on a thin link.
+    bool compress = false;
     // Limits of the output queue of one peer.
     std::size_t max_queued_messages = 1024;
     std::size_t max_queued_bytes = std::size_t(4) * 1024 * 1024;
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -80,6 +80,8 @@
     links.idle_timeout = 6 * options_.status_period;
     links.connect_timeout = std::chrono::milliseconds(600);
     links.max_incoming = max_peer_connections;
+    links.compress = options_.link_rate > 0 &&
+                     options_.link_rate <= options_.compressed_link_rate;
     links.max_backoff = std::chrono::milliseconds(800);
     wire::peer_events events;
     events.on_message =
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -347,13 +347,26 @@
 std::optional<std::chrono::milliseconds>
 leadership::grant_lease(const base::worker_id& worker)
 {
-    if (hooks_.isolated && hooks_.isolated())
+    if ((hooks_.isolated && hooks_.isolated()) || !roster_.stored(worker))
     {
         return std::nullopt;
     }
     return fleet_.grant_lease(worker, clock_.now());
 }
 
+// A worker that announced its departure, is off the list and does not answer
+// has left with its tasks. Without this, the jobs of a service would wait for
+// the longest lease after each change of leaders near such a departure.
+void leadership::remove_departed(const base::worker_id& id)
+{
+    const auto found = fleet_.workers().find(id);
+    if (found != fleet_.workers().end() && found->second.listing.leaving &&
+        !found->second.listed && found->second.unresponsive)
+    {
+        roster_.remove(id);
+    }
+}
+
 void leadership::renew_all()
 {
     const base::time_point now = clock_.now();
@@ -458,6 +471,7 @@
             fleet_.on_replaced(id);
         }
         fleet_.on_renewal_failed(id, result.report.sent_at);
+        remove_departed(id);
         state.next_at = now + renewal_retry_pause;
         loop_.after(renewal_retry_pause, guarded([this] { request_round(); }));
         return;
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -393,6 +393,7 @@
         roster_.remove(id);
     }
     fleet_.unlist_worker(id);
+    remove_departed(id);
 }
 
 void leadership::list_stored_workers()
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -7,6 +7,7 @@
 #include <coltsfootrack/cell/peer_time.hpp>
 #include <coltsfootrack/cell/worker_relay.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfootrack::cell
@@ -38,6 +39,11 @@
     return hash ^ (hash >> half);
 }
 
+// How much faster or slower than the leader's the clock of a peer may run, and
+// the granularity of the clocks in messages.
+constexpr int max_clock_drift_percent = 2;
+constexpr std::chrono::milliseconds clock_granularity{1};
+
 // For orders that do no harm however late they are sent: the run number or the
 // epoch tells the worker that they are old.
 constexpr base::time_point no_send_limit = base::time_point::max();
@@ -167,7 +173,9 @@
     const auto peer = peer_for(worker);
     if (peer && send_by != no_send_limit)
     {
-        call.send_by = on_clock_of(peers_.at(*peer), send_by);
+        // The leader makes the call itself after that time.
+        call.send_by = on_clock_of(
+            peers_.at(*peer), std::min(send_by, clock_.now() + order_timeout));
     }
     call.nonce = next_nonce_++;
     call.worker = worker.worker;
@@ -225,11 +233,32 @@
                             std::optional<std::chrono::milliseconds> clock)
 {
     const auto found = peers_.find(peer);
-    if (found != peers_.end())
+    if (found == peers_.end())
+    {
+        return;
+    }
+    peer_state& state = found->second;
+    const base::time_point now = clock_.now();
+    // A status that arrives late, or is handled late, shows an old clock. The
+    // one that was the quickest counts, less what the clocks may have drifted
+    // apart since.
+    if (clock && state.clock)
+    {
+        const auto passed =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - state.clock_at);
+        const auto expected =
+            *state.clock + passed -
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                passed * max_clock_drift_percent / 100) -
+            clock_granularity;
+        state.clock = std::max(*clock, expected);
+    }
+    else
     {
-        found->second.clock = clock;
-        found->second.clock_at = clock_.now();
+        state.clock = clock;
     }
+    state.clock_at = now;
 }
 
 // The time that its status took to arrive makes the result earlier than the
--- a/src/wire/peer_links_impl.cpp
+++ b/src/wire/peer_links_impl.cpp
@@ -388,7 +388,8 @@
         close_incoming(*found->second.in);
     }
     found->second.in = &link;
-    found->second.out.allow_compression(first.accepts_compression);
+    found->second.out.allow_compression(options_.compress &&
+                                        first.accepts_compression);
     return true;
 }
 
--- a/test/cell/fake_store.hpp
+++ b/test/cell/fake_store.hpp
@@ -56,6 +56,19 @@
         return version_;
     }
 
+    // Removes a row; see removals().
+    void remove(const row_id& id)
+    {
+        rows_.erase(id);
+        removals_[id] = ++version_;
+    }
+
+    // The rows removed by remove(), with the versions of their removal.
+    const std::map<row_id, std::uint64_t>& removals() const
+    {
+        return removals_;
+    }
+
     // The row, with version 0 if there is none.
     stored_row read(const row_id& id) const
     {
@@ -88,6 +101,7 @@
 private:
     std::uint64_t version_ = 0;
     std::map<row_id, stored_row> rows_;
+    std::map<row_id, std::uint64_t> removals_;
 };
 
 } // namespace coltsfootrack::cell
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 constexpr const char* worker_table = "workers";
+// The row of a worker that announces its departure.
+constexpr const char* leaving_value = "leaving";
 const base::service_id service("s");
 
 } // namespace
@@ -127,14 +129,15 @@
         answer_follow(table, after, attempts, done);
     };
     made.workers.list_table = worker_table;
-    made.workers.read_listing = [](const std::string& key,
-                                   const std::string& /*value*/)
-        -> absl::StatusOr<fleet::worker_listing>
+    made.workers.read_listing =
+        [](const std::string& key,
+           const std::string& value) -> absl::StatusOr<fleet::worker_listing>
     {
         fleet::worker_listing listing;
         listing.worker = base::worker_id(key);
         listing.service = service;
         listing.capacity = {8000, 8000, 0};
+        listing.leaving = value == leaving_value;
         return listing;
     };
     made.workers.renew = [this](const fleet::worker_listing& worker,
@@ -190,6 +193,13 @@
             result.rows.push_back(row);
         }
     }
+    for (const auto& [id, version] : store_.removals())
+    {
+        if (id.table == table && version > after)
+        {
+            result.rows.push_back({id, "", 0});
+        }
+    }
     if (!result.rows.empty() || attempts == 0)
     {
         done(result);
@@ -266,6 +276,23 @@
     }
 }
 
+void leadership_harness::announce_departure(const std::string& id)
+{
+    store_.put({worker_table, "", id}, leaving_value);
+}
+
+void leadership_harness::remove_worker(const std::string& id)
+{
+    store_.remove({worker_table, "", id});
+    unresponsive_.insert(id);
+}
+
+bool leadership_harness::wait_not_stored(const std::string& id,
+                                         milliseconds limit)
+{
+    return wait_for([&] { return !is_stored(base::worker_id(id)); }, limit);
+}
+
 void leadership_harness::put_used_worker(const std::string& id)
 {
     fleet::worker_listing listing;
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -58,6 +58,15 @@
         return found == renewal_counts_.end() ? 0 : found->second;
     }
 
+    // A worker's row says that it is leaving; its row is gone, and it does not
+    // answer any more. Call inside run().
+    void announce_departure(const std::string& id);
+    void remove_worker(const std::string& id);
+
+    // Waits until no stored row names a worker; false if the limit passes.
+    bool wait_not_stored(const std::string& id,
+                         std::chrono::milliseconds limit);
+
     // Whether a lease was granted to a worker that no stored row named. Call
     // inside run().
     bool unstored_worker_used() const
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_is_read);
     CPPUNIT_TEST(leader_inherited_job_waits_for_used_worker_off_the_list);
     CPPUNIT_TEST(leader_worker_is_stored_before_it_is_used);
+    CPPUNIT_TEST(leader_departed_worker_is_not_waited_for);
     CPPUNIT_TEST(leader_worker_with_unstored_end_is_not_asked_at_each_write);
     CPPUNIT_TEST(leader_isolated_grants_no_lease_and_starts_nothing);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
@@ -171,6 +172,30 @@
         harness.run([&] { CPPUNIT_ASSERT(!harness.unstored_worker_used()); });
     }
 
+    // Many workers may leave at short notice shortly before the leader is lost.
+    // One that did not announce it may be cut off, with its tasks running.
+    void leader_departed_worker_is_not_waited_for()
+    {
+        leadership_harness harness(epoch);
+        harness.add_worker("w1", true);
+        harness.add_worker("w2", true);
+        harness.add_worker("w3", true);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        harness.send_job("own", epoch);
+        CPPUNIT_ASSERT(harness.wait_started("own", soon));
+        harness.run([&] { harness.announce_departure("w2"); });
+        CPPUNIT_ASSERT(!harness.wait_not_stored("w2", milliseconds(200)));
+        harness.run(
+            [&]
+            {
+                harness.remove_worker("w2");
+                harness.remove_worker("w3");
+            });
+        CPPUNIT_ASSERT(harness.wait_not_stored("w2", milliseconds(2000)));
+        CPPUNIT_ASSERT(!harness.wait_not_stored("w3", milliseconds(500)));
+    }
+
     // The load that it answers: many jobs end while the end of one is not
     // stored yet. Each renewal costs a thin link two frames and tells nothing
     // new.
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -46,6 +46,7 @@
     CPPUNIT_TEST(expire_backs_off_peer);
     CPPUNIT_TEST(link_lost_makes_only_its_calls_directly);
     CPPUNIT_TEST(start_peer_may_send_only_until_leader_makes_it);
+    CPPUNIT_TEST(status_late_does_not_shorten_send_limit);
     CPPUNIT_TEST(call_repeated_directly_gets_new_send_limit);
     CPPUNIT_TEST(call_peer_of_unknown_clock_goes_elsewhere);
     CPPUNIT_TEST(stop_peer_may_send_at_any_time);
@@ -513,6 +514,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.sent_calls.size());
     }
 
+    // A leader that is short of processor handles statuses late. If each one
+    // set the clock back, its calls would be too late for the peer when they
+    // arrive.
+    void status_late_does_not_shorten_send_limit()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.clock.advance(milliseconds(1000));
+        // It was sent 400 ms ago.
+        harness.relay.on_clock(peer_a, worker_relay_harness::peer_clock +
+                                           milliseconds(600));
+        harness.start(harness.worker("w", "a"));
+        const milliseconds exact = worker_relay_harness::peer_clock +
+                                   milliseconds(1000) +
+                                   worker_relay::order_timeout;
+        const milliseconds limit = *harness.sent_calls.at(0).call.send_by;
+        CPPUNIT_ASSERT(limit <= exact);
+        // The clocks may have drifted apart by 2%.
+        CPPUNIT_ASSERT(limit >= exact - milliseconds(21));
+    }
+
     void call_repeated_directly_gets_new_send_limit()
     {
         worker_relay_harness harness;
--- a/test/wire/peer_links_test.cpp
+++ b/test/wire/peer_links_test.cpp
@@ -36,6 +36,7 @@
         options.self = {id, incarnation, base::zone_id("a1"),
                         accepts_compression};
         options.listen_port = port;
+        options.compress = true;
         options.max_queued_messages = queue;
         options.min_backoff = std::chrono::milliseconds(10);
         options.max_backoff = std::chrono::milliseconds(50);
