Keep the lease of a worker that was taken for departed and answers again

Cause: a draining worker that is off the list and leaves one renewal unanswered is removed from the stored workers, and without a stored row it gets no lease. If it was only cut off, its running work would end with its lease.

Change: a worker that answers is stored again, after which it gets leases as before. Entries of the stored workers are compared by field, not by their text, since this happens with each change of the platform's list.

--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -478,6 +478,11 @@
     }
     fleet_.on_report(id, result.report, now);
     const auto worker = fleet_.workers().find(id);
+    if (worker != fleet_.workers().end() && !roster_.stored(id))
+    {
+        // It may have been taken for departed; its tasks keep their lease.
+        roster_.add(worker->second.listing);
+    }
     const bool waits = worker != fleet_.workers().end() &&
                        worker->second.ends_seen != worker->second.ends_durable;
     state.next_at = waits ? now + options_.renewal_pause : now;
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -25,6 +25,13 @@
                         worker.capacity.accelerators});
 }
 
+// Whether two workers have the same entry in a row.
+bool same_entry(const fleet::worker_listing& a, const fleet::worker_listing& b)
+{
+    return a.worker == b.worker && a.service == b.service && a.zone == b.zone &&
+           a.address == b.address && a.capacity == b.capacity;
+}
+
 fleet::worker_listing worker_of(const json& in)
 {
     fleet::worker_listing worker;
@@ -75,7 +82,7 @@
         part.entries[worker.worker] = {worker, ++part.changes};
         return;
     }
-    if (to_json(found->second.worker) != to_json(worker))
+    if (!same_entry(found->second.worker, worker))
     {
         found->second.worker = worker;
         ++part.changes;
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -287,6 +287,11 @@
     unresponsive_.insert(id);
 }
 
+bool leadership_harness::wait_stored(const std::string& id, milliseconds limit)
+{
+    return wait_for([&] { return is_stored(base::worker_id(id)); }, limit);
+}
+
 bool leadership_harness::wait_not_stored(const std::string& id,
                                          milliseconds limit)
 {
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -63,6 +63,15 @@
     void announce_departure(const std::string& id);
     void remove_worker(const std::string& id);
 
+    // Waits until a stored row names a worker; false if the limit passes.
+    bool wait_stored(const std::string& id, std::chrono::milliseconds limit);
+
+    // A worker that did not answer answers again. Call inside run().
+    void answer_again(const std::string& id)
+    {
+        unresponsive_.erase(id);
+    }
+
     // Waits until no stored row names a worker; false if the limit passes.
     bool wait_not_stored(const std::string& id,
                          std::chrono::milliseconds limit);
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -194,6 +194,9 @@
             });
         CPPUNIT_ASSERT(harness.wait_not_stored("w2", milliseconds(2000)));
         CPPUNIT_ASSERT(!harness.wait_not_stored("w3", milliseconds(500)));
+        // It was only cut off: its tasks must not lose their lease.
+        harness.run([&] { harness.answer_again("w2"); });
+        CPPUNIT_ASSERT(harness.wait_stored("w2", milliseconds(2000)));
     }
 
     // The load that it answers: many jobs end while the end of one is not
