Let progress wait 50 ms again, and find the leader by the line of a takeover

Its log shows that a worker restarted at 573 ms, ran a task of 73 ms in its new life, and was then told to forget ends up to 4, the count of its former life: the end of the new run was forgotten before it was listed, and the task was started again.

Change: 50 ms as before. Three system tests looked for the line "Jobs loaded", which is now "Takeover finished"; they ask for that one, which is written at the same place.

--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -72,7 +72,7 @@
     // Updates that are not urgent wait this long for others of their part,
     // since the platform charges for each transaction, and workers are renewed
     // after each.
-    static constexpr std::chrono::milliseconds group_delay{200};
+    static constexpr std::chrono::milliseconds group_delay{50};
 
     // Sets the row and version that transactions with updates depend on.
     void set_fence(std::optional<row_condition> fence);
--- a/test/system/cell_test.cpp
+++ b/test/system/cell_test.cpp
@@ -96,7 +96,7 @@
                 {
                     const bool leads =
                         cluster.daemon(i).output().find(
-                            "event=\"Jobs loaded\"") != std::string::npos;
+                            "event=\"Takeover finished\"") != std::string::npos;
                     found = leads ? i : -1;
                 }
                 return found >= 0;
