--- a/include/coltsfootrack/cell/table_reader.hpp
+++ b/include/coltsfootrack/cell/table_reader.hpp
@@ -85,7 +85,7 @@
     hooks hooks_;
     std::deque<remainder> unread_;
     std::size_t in_flight_ = 0;
-    // Of failed pages that are about to be asked for again.
+    // The failed pages that wait for their retry.
     std::size_t pausing_ = 0;
     std::size_t page_rows_;
     std::uint64_t version_ = 0;
--- a/include/coltsfootrack/cell/traffic_log.hpp
+++ b/include/coltsfootrack/cell/traffic_log.hpp
@@ -9,8 +9,8 @@
 namespace coltsfootrack::cell
 {
 
-// Describes what a daemon's link carried since the last call, so that a thin
-// link can be told from a slow store.
+// Describes what a daemon's link carried since the last call. It distinguishes a
+// saturated link from a slow store.
 //
 // Thread safety: none.
 class traffic_log
