--- a/include/coltsfootrack/cell/traffic_log.hpp
+++ b/include/coltsfootrack/cell/traffic_log.hpp
@@ -9,7 +9,7 @@
 namespace coltsfootrack::cell
 {
 
-// Describes what a daemon's link carried since the last call. It distinguishes a
+// Describes what a daemon's link carried since the last call, to distinguish a
 // saturated link from a slow store.
 //
 // Thread safety: none.
