Withhold acknowledgements from a worker that may have restarted

A worker numbers its ends from 1 in each life. The leader acknowledged ends of the former life to one that had restarted under the same id and had run tasks since: it forgot ends that nobody had read, and their tasks were started again. The answer to such a start looks like that of the former life.

An acknowledgement is now sent only while no start to the worker can have reached another life: none is in flight or unanswered, and the clock in the answer to each start continues that of the last report.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -155,6 +155,8 @@
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker);
     void acknowledge_ends();
+    // The same for one worker; returns whether it has ends to forget.
+    bool acknowledge_ends(const base::worker_id& worker, renewal_state& state);
     void remove_departed(const base::worker_id& id);
     void renew_all();
     void renew(const base::worker_id& id, renewal_state& state);
--- a/include/coltsfootrack/cell/worker_port.hpp
+++ b/include/coltsfootrack/cell/worker_port.hpp
@@ -5,6 +5,7 @@
 #include <coltsfootrack/cell/lease_renewal.hpp>
 #include <coltsfootrack/fleet/order.hpp>
 #include <coltsfootrack/fleet/order_outcome.hpp>
+#include <coltsfootrack/fleet/start_result.hpp>
 #include <coltsfootrack/fleet/worker_listing.hpp>
 
 #include <absl/status/statusor.h>
@@ -22,6 +23,7 @@
 struct worker_port
 {
     using order_callback = std::function<void(fleet::order_outcome)>;
+    using start_callback = std::function<void(fleet::start_result)>;
 
     std::function<void(const fleet::worker_listing&, const lease_renewal&,
                        std::function<void(renewal_result)>)>
@@ -32,7 +34,7 @@
     std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
                        const fleet::start_order&,
                        std::chrono::milliseconds lease_end,
-                       base::time_point send_by, order_callback)>
+                       base::time_point send_by, start_callback)>
         start;
 
     std::function<void(const fleet::worker_listing&, std::uint64_t epoch,
--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -123,8 +123,8 @@
                direct_call direct,
                std::function<bool(const wire::worker_answer&)> answer);
     void relay_order(const fleet::worker_listing& worker,
-                     wire::worker_call call, base::time_point send_by,
-                     direct_call direct, worker_port::order_callback done);
+                     wire::worker_call call, direct_call direct,
+                     worker_port::order_callback done);
     void call_directly(std::uint64_t nonce, bool repeated, const char* reason);
 
     const worker_port& direct_;
--- a/include/coltsfootrack/fleet/active_run.hpp
+++ b/include/coltsfootrack/fleet/active_run.hpp
@@ -44,6 +44,8 @@
     bool stop_done = false;
     // The start order was not answered, and no report lists the run yet.
     bool start_uncertain = false;
+    // The start order has no outcome yet, and no report lists the run.
+    bool start_pending = false;
     // Belongs to no task that is known and active: it is stopped, or adopted
     // when the row of its job is loaded.
     bool orphaned = false;
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -149,9 +149,21 @@
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker, base::time_point now);
 
-    // The run ends of a worker up to this number are stored durably.
+    // The run ends up to this number are stored, and the worker may forget
+    // them. 0 while the worker may have restarted and numbers others like them.
     std::uint64_t acknowledged(const base::worker_id& worker) const;
 
+    // The run ends of the last known life of a worker up to this number are
+    // stored.
+    std::uint64_t stored_ends(const base::worker_id& worker) const;
+
+    // A worker answered an order that was sent at `sent` with this clock.
+    // Returns whether the clock shows that it has restarted since its last
+    // report.
+    bool on_clock(const base::worker_id& worker,
+                  std::chrono::milliseconds clock, base::time_point sent,
+                  base::time_point now);
+
     // The state to report to callers; nothing if the job is not known.
     std::optional<jobs::job_state> state_of(const base::job_id& job) const;
 
--- a/include/coltsfootrack/fleet/worker_lease.hpp
+++ b/include/coltsfootrack/fleet/worker_lease.hpp
@@ -28,6 +28,11 @@
     // The worker answered with its current clock.
     void note_clock(milliseconds clock, base::time_point now);
 
+    // Whether the worker whose clock is known can have answered a call that was
+    // sent at `sent` with this clock; if not, it has been restarted. True
+    // before the first answer.
+    bool same_clock(milliseconds clock, base::time_point sent) const;
+
     // The worker was restarted: its clock restarts and no lease is in force.
     void reset();
 
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -51,6 +51,9 @@
     // The worker's clock at its newest report. Answers on different connections
     // may be reordered, and an old one would list runs that have ended.
     std::chrono::milliseconds report_clock{0};
+    // When the clock in an answer showed that the worker has restarted. Its
+    // reports are of the former life until one was sent after that.
+    std::optional<base::time_point> restart_seen_at;
     worker_lease lease;
     run_map runs;
     // The sum of active_run::room.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -209,24 +209,30 @@
     metrics_.count_event("task_start_ordered");
     ordered_starts_.push_back({order.task, order.run, order.worker,
                                fleet::order_outcome::carried_out});
+    const base::time_point sent = clock_.now();
     ports_.workers.start(
         found->second.listing, epoch(), order, *lease,
-        clock_.now() + options_.send_limit,
-        posted<fleet::order_outcome>(
-            [this, worker = order.worker, task = order.task,
-             run = order.run](fleet::order_outcome outcome)
+        sent + options_.send_limit,
+        posted<fleet::start_result>(
+            [this, worker = order.worker, task = order.task, run = order.run,
+             sent](const fleet::start_result& result)
             {
+                const fleet::order_outcome outcome = result.outcome;
+                const bool restarted =
+                    result.clock &&
+                    fleet_.on_clock(worker, *result.clock, sent, clock_.now());
                 if (outcome != fleet::order_outcome::carried_out)
                 {
                     record_unconfirmed({task, run, worker, outcome});
                 }
                 record_outcome(call_kind::start, outcome, worker);
                 fleet_.on_start(worker, task, run, outcome, clock_.now());
-                if (outcome == fleet::order_outcome::unknown)
+                if (outcome == fleet::order_outcome::unknown || restarted)
                 {
                     probe_worker(worker);
                 }
-                if (outcome != fleet::order_outcome::carried_out)
+                if (outcome != fleet::order_outcome::carried_out ||
+                    acknowledge_ends(worker, renewals_[worker]))
                 {
                     request_round();
                 }
@@ -331,14 +337,22 @@
 // yet learns nothing from a further renewal.
 void leadership::acknowledge_ends()
 {
-    const base::time_point now = clock_.now();
     for (auto& [id, state] : renewals_)
     {
-        if (fleet_.acknowledged(id) > state.acknowledged)
-        {
-            state.next_at = std::min(state.next_at, now);
-        }
+        acknowledge_ends(id, state);
+    }
+}
+
+bool leadership::acknowledge_ends(const base::worker_id& worker,
+                                  renewal_state& state)
+{
+    if (fleet_.stored_ends(worker) <= state.acknowledged ||
+        fleet_.acknowledged(worker) <= state.acknowledged)
+    {
+        return false;
     }
+    state.next_at = std::min(state.next_at, clock_.now());
+    return true;
 }
 
 // An isolated leader grants no lease: the next leader assumes, seconds after
@@ -483,8 +497,9 @@
         // It may have been taken for departed; its tasks keep their lease.
         roster_.add(worker->second.listing);
     }
+    // A further renewal would list the same ends.
     const bool waits = worker != fleet_.workers().end() &&
-                       worker->second.ends_seen != worker->second.ends_durable;
+                       worker->second.ends_seen != fleet_.acknowledged(id);
     state.next_at = waits ? now + options_.renewal_pause : now;
     request_round();
 }
--- a/src/cell/relayed_call.cpp
+++ b/src/cell/relayed_call.cpp
@@ -31,7 +31,10 @@
     case wire::worker_call_kind::start:
         direct.start(worker, call.epoch, start_of(call),
                      call.lease_end.value_or(std::chrono::milliseconds(0)),
-                     send_by_of(call), order_done);
+                     send_by_of(call),
+                     [nonce = call.nonce,
+                      done = std::move(done)](const fleet::start_result& result)
+                     { done(answer_of(nonce, result)); });
         return;
     case wire::worker_call_kind::stop:
         direct.stop(worker, call.epoch, stop_of(call), order_done);
--- a/src/cell/worker_messages.cpp
+++ b/src/cell/worker_messages.cpp
@@ -117,6 +117,14 @@
     return answer;
 }
 
+wire::worker_answer answer_of(std::uint64_t nonce,
+                              const fleet::start_result& result)
+{
+    wire::worker_answer answer = answer_of(nonce, result.outcome);
+    answer.clock = result.clock.value_or(std::chrono::milliseconds(0));
+    return answer;
+}
+
 wire::worker_answer answer_of(std::uint64_t nonce, const renewal_result& result)
 {
     wire::worker_answer answer = answer_of(nonce, result.outcome);
@@ -148,6 +156,17 @@
                : fleet::order_outcome::unknown;
 }
 
+fleet::start_result start_result_of(const wire::worker_answer& answer)
+{
+    fleet::start_result result;
+    result.outcome = outcome_of(answer);
+    if (answer.clock.count() > 0)
+    {
+        result.clock = answer.clock;
+    }
+    return result;
+}
+
 renewal_result renewal_of(const wire::worker_answer& answer)
 {
     constexpr auto last_kind =
--- a/src/cell/worker_messages.hpp
+++ b/src/cell/worker_messages.hpp
@@ -5,6 +5,7 @@
 #include <coltsfootrack/cell/lease_renewal.hpp>
 #include <coltsfootrack/fleet/order.hpp>
 #include <coltsfootrack/fleet/order_outcome.hpp>
+#include <coltsfootrack/fleet/start_result.hpp>
 #include <coltsfootrack/wire/worker_answer.hpp>
 #include <coltsfootrack/wire/worker_call.hpp>
 
@@ -35,9 +36,12 @@
 // unexpected number becomes order_outcome::unknown.
 wire::worker_answer answer_of(std::uint64_t nonce,
                               fleet::order_outcome outcome);
+wire::worker_answer answer_of(std::uint64_t nonce,
+                              const fleet::start_result& result);
 wire::worker_answer answer_of(std::uint64_t nonce,
                               const renewal_result& result);
 fleet::order_outcome outcome_of(const wire::worker_answer& answer);
+fleet::start_result start_result_of(const wire::worker_answer& answer);
 renewal_result renewal_of(const wire::worker_answer& answer);
 
 } // namespace coltsfootrack::cell
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -50,14 +50,17 @@
 
 // For the repetition of a start that a peer may have made: if it is refused,
 // the run of the first start may still exist, have ended, or start later.
-worker_port::order_callback after_first_start(worker_port::order_callback done)
+worker_port::start_callback after_first_start(worker_port::start_callback done)
 {
-    return [done = std::move(done)](fleet::order_outcome outcome)
+    return [done = std::move(done)](fleet::start_result result)
     {
-        const bool certain = outcome == fleet::order_outcome::carried_out ||
-                             outcome == fleet::order_outcome::fenced ||
-                             outcome == fleet::order_outcome::other_worker;
-        done(certain ? outcome : fleet::order_outcome::unknown);
+        const bool certain =
+            result.outcome == fleet::order_outcome::carried_out ||
+            result.outcome == fleet::order_outcome::fenced ||
+            result.outcome == fleet::order_outcome::other_worker;
+        result.outcome =
+            certain ? result.outcome : fleet::order_outcome::unknown;
+        done(result);
     };
 }
 
@@ -88,8 +91,11 @@
             return;
         }
         // The peer has waited for an end already, so the direct call does not.
+        // Nor does it acknowledge ends: the worker may have restarted since the
+        // leader read them.
         lease_renewal probe = renewal;
         probe.wait = std::chrono::milliseconds(0);
+        probe.acknowledged = 0;
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
             renewal.send_by,
@@ -116,24 +122,28 @@
                         std::uint64_t epoch, const fleet::start_order& order,
                         std::chrono::milliseconds lease_end,
                         base::time_point send_by,
-                        const worker_port::order_callback& done)
+                        const worker_port::start_callback& done)
     {
-        relay_order(
-            worker, call_of(epoch, order, lease_end), send_by,
+        relay(
+            worker, call_of(epoch, order, lease_end), order_timeout, send_by,
             [this, worker, epoch, order, lease_end, done](bool repeated)
             {
                 direct_.start(worker, epoch, order, lease_end,
                               clock_.now() + order_timeout,
                               repeated ? after_first_start(done) : done);
             },
-            done);
+            [done](const wire::worker_answer& answer)
+            {
+                done(start_result_of(answer));
+                return true;
+            });
     };
     made.stop = [this](const fleet::worker_listing& worker, std::uint64_t epoch,
                        const fleet::stop_order& order,
                        const worker_port::order_callback& done)
     {
         relay_order(
-            worker, call_of(epoch, order), no_send_limit,
+            worker, call_of(epoch, order),
             [this, worker, epoch, order, done](bool /*repeated*/)
             { direct_.stop(worker, epoch, order, done); },
             done);
@@ -143,7 +153,7 @@
                        const worker_port::order_callback& done)
     {
         relay_order(
-            worker, call_of(epoch, order), no_send_limit,
+            worker, call_of(epoch, order),
             [this, worker, epoch, order, done](bool /*repeated*/)
             { direct_.pace(worker, epoch, order, done); },
             done);
@@ -152,11 +162,11 @@
 }
 
 void worker_relay::relay_order(const fleet::worker_listing& worker,
-                               wire::worker_call call, base::time_point send_by,
-                               direct_call direct,
+                               wire::worker_call call, direct_call direct,
                                worker_port::order_callback done)
 {
-    relay(worker, std::move(call), order_timeout, send_by, std::move(direct),
+    relay(worker, std::move(call), order_timeout, no_send_limit,
+          std::move(direct),
           [done = std::move(done)](const wire::worker_answer& answer)
           {
               done(outcome_of(answer));
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -62,6 +62,10 @@
     }
     worker.life = report.life;
     worker.unresponsive = false;
+    if (worker.restart_seen_at && report.sent_at > *worker.restart_seen_at)
+    {
+        worker.restart_seen_at.reset();
+    }
     worker.unanswered_after_lease = 0;
     ++worker.reports;
     worker.lease.note_clock(report.clock, now);
@@ -133,6 +137,7 @@
         run.missing_reports = 0;
         run.last_listed_report = worker.reports;
         run.start_uncertain = false;
+        run.start_pending = false;
         if (run.phase == run_phase::starting ||
             run.phase == run_phase::uncertain)
         {
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -205,6 +205,7 @@
     const jobs::task_key key{next.key, index};
     task_record& task = next.record->tasks[static_cast<std::size_t>(index)];
     active_run& added = add_run(worker, key, run, run_phase::starting, now);
+    added.start_pending = true;
     attach(worker, key, added, task);
     next.job->started = true;
     start_order start;
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -5,6 +5,7 @@
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace coltsfootrack::fleet
 {
@@ -96,11 +97,43 @@
 std::uint64_t fleet::acknowledged(const base::worker_id& id) const
 {
     const auto found = workers_.find(id);
-    // An unresponsive worker may have restarted under the same id, and then
-    // numbers its ends from 1 again.
-    return found == workers_.end() || found->second.unresponsive
-               ? 0
-               : found->second.ends_durable;
+    if (found == workers_.end() || found->second.ends_durable == 0)
+    {
+        return 0;
+    }
+    const worker_record& worker = found->second;
+    // A worker that has restarted under the same id numbers its ends from 1
+    // again. It has ends only if a start has reached it.
+    const bool may_have_restarted =
+        worker.unresponsive || worker.restart_seen_at ||
+        std::any_of(worker.runs.begin(), worker.runs.end(),
+                    [](const auto& entry) {
+                        return entry.second.start_pending ||
+                               entry.second.start_uncertain;
+                    });
+    return may_have_restarted ? 0 : worker.ends_durable;
+}
+
+std::uint64_t fleet::stored_ends(const base::worker_id& id) const
+{
+    const auto found = workers_.find(id);
+    return found == workers_.end() ? 0 : found->second.ends_durable;
+}
+
+bool fleet::on_clock(const base::worker_id& id, std::chrono::milliseconds clock,
+                     base::time_point sent, base::time_point now)
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end() || found->second.lease.same_clock(clock, sent))
+    {
+        return false;
+    }
+    base::log(base::log_level::info, log_part,
+              "Worker has restarted since its last report. worker={} "
+              "clock_ms={} last_clock_ms={}",
+              id.text(), clock.count(), found->second.report_clock.count());
+    found->second.restart_seen_at = now;
+    return true;
 }
 
 void fleet::on_renewal_failed(const base::worker_id& id, base::time_point sent)
@@ -206,6 +239,7 @@
     {
         return;
     }
+    const bool pending = std::exchange(active->second.start_pending, false);
     if (outcome == order_outcome::carried_out)
     {
         if (active->second.phase == run_phase::starting)
@@ -218,10 +252,11 @@
     }
     if (outcome == order_outcome::unknown)
     {
+        active->second.start_uncertain =
+            active->second.start_uncertain || pending;
         if (active->second.phase == run_phase::starting)
         {
             active->second.phase = run_phase::uncertain;
-            active->second.start_uncertain = true;
             active->second.known_at = now;
         }
         return;
--- a/src/fleet/worker_lease.cpp
+++ b/src/fleet/worker_lease.cpp
@@ -15,6 +15,9 @@
 // Covers the granularity of the clocks.
 constexpr std::chrono::milliseconds clock_margin{100};
 
+// The rounding of two readings of a clock.
+constexpr std::chrono::milliseconds clock_granularity{2};
+
 // The longest time on this daemon's clock until the worker's clock has advanced
 // by `on_worker`.
 base::duration longest_leader_time(std::chrono::milliseconds on_worker)
@@ -45,6 +48,19 @@
     clock_at_ = now;
 }
 
+bool worker_lease::same_clock(milliseconds clock, base::time_point sent) const
+{
+    if (!known_)
+    {
+        return true;
+    }
+    const std::chrono::duration<double, std::milli> passed = sent - clock_at_;
+    // A call sent before the last answer arrived may have been answered first.
+    const auto advanced = std::chrono::duration_cast<milliseconds>(
+        passed.count() > 0 ? passed * min_clock_rate : passed);
+    return clock + clock_granularity >= clock_ + advanced;
+}
+
 void worker_lease::reset()
 {
     known_ = false;
