Let a renewal that no peer takes wait at the worker

A renewal that the leader made itself, because the worker has no usable peer or the peer refused the call, was sent without its wait, as if a peer had waited already. The worker answered at once and was asked again at once, as fast as the way there and back allows: looks at workers that are charged, and bytes on the leader's link when its peers are backed off.

Only a renewal that a peer may have made is repeated without a wait. renewal_without_peer_keeps_its_wait failed before.

--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -99,9 +99,9 @@
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
             renewal.send_by,
-            [this, worker, probe, done](bool /*repeated*/)
+            [this, worker, renewal, probe, done](bool repeated)
             {
-                lease_renewal retry = probe;
+                lease_renewal retry = repeated ? probe : renewal;
                 retry.send_by = clock_.now() + order_timeout;
                 direct_.renew(worker, retry, done);
             },
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(call_worker_in_zone_of_leader_uses_no_peer_elsewhere);
     CPPUNIT_TEST(call_no_peer_in_other_zone_uses_peer_elsewhere);
     CPPUNIT_TEST(call_stopping_peer_goes_elsewhere);
+    CPPUNIT_TEST(renewal_without_peer_keeps_its_wait);
     CPPUNIT_TEST(renewal_direct_never_goes_to_peer);
     CPPUNIT_TEST(answer_duplicate_ends_call_once);
     CPPUNIT_TEST(answer_after_deadline_before_expiry_counts);
@@ -189,6 +190,25 @@
         CPPUNIT_ASSERT(harness.sent_calls.back().peer == peer_a);
     }
 
+    // Without its wait each renewal is answered at once, and the leader asks
+    // again at once: as many calls as fit its link.
+    void renewal_without_peer_keeps_its_wait()
+    {
+        worker_relay_harness harness;
+        harness.renew(harness.worker("w", "a"), milliseconds(300));
+        harness.link("a-1", "a");
+        harness.renew(harness.worker("v", "a"), milliseconds(300));
+        wire::worker_answer refused;
+        refused.nonce = harness.sent_calls.at(0).call.nonce;
+        harness.relay.on_answer(refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.direct_calls.size());
+        for (const auto& call : harness.direct_calls)
+        {
+            CPPUNIT_ASSERT(call.renewal.wait == milliseconds(300));
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, call.renewal.acknowledged);
+        }
+    }
+
     // An unresponsive peer must not make a worker count as lost.
     void renewal_direct_never_goes_to_peer()
     {
