--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -154,6 +154,13 @@
     void remove_rows(std::size_t part, std::vector<base::job_id> ids);
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker);
+    // Whether the leader was paused for so long that a peer may have taken
+    // over.
+    bool may_be_replaced() const;
+    // Reads the leader row, and goes on or steps down.
+    void confirm_leadership();
+    void read_leader_row();
+    bool peers_confirm() const;
     void acknowledge_ends();
     // The same for one worker; returns whether it has ends to forget.
     bool acknowledge_ends(const base::worker_id& worker, renewal_state& state);
@@ -224,6 +231,9 @@
     std::vector<ordered_start> ordered_starts_;
     std::vector<ordered_start> unconfirmed_starts_;
     base::time_point last_round_;
+    // Whether the leader row is being read after a pause, and since when.
+    bool confirming_ = false;
+    base::time_point resumed_at_;
     base::duration last_round_time_{0};
     // By part: whether a removal of rows is in flight.
     std::vector<bool> removing_;
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -96,13 +96,16 @@
         lease_renewal probe = renewal;
         probe.wait = std::chrono::milliseconds(0);
         probe.acknowledged = 0;
+        // A leader that was paused meanwhile sends nothing.
+        const base::time_point latest =
+            clock_.now() + renewal.wait + renewal_slack + order_timeout;
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
             renewal.send_by,
-            [this, worker, renewal, probe, done](bool repeated)
+            [this, worker, renewal, probe, latest, done](bool repeated)
             {
                 lease_renewal retry = repeated ? probe : renewal;
-                retry.send_by = clock_.now() + order_timeout;
+                retry.send_by = std::min(latest, clock_.now() + order_timeout);
                 direct_.renew(worker, retry, done);
             },
             [done](const wire::worker_answer& answer)
@@ -126,10 +129,10 @@
     {
         relay(
             worker, call_of(epoch, order, lease_end), order_timeout, send_by,
-            [this, worker, epoch, order, lease_end, done](bool repeated)
+            [this, worker, epoch, order, lease_end, send_by,
+             done](bool repeated)
             {
-                direct_.start(worker, epoch, order, lease_end,
-                              clock_.now() + order_timeout,
+                direct_.start(worker, epoch, order, lease_end, send_by,
                               repeated ? after_first_start(done) : done);
             },
             [done](const wire::worker_answer& answer)
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -1,5 +1,7 @@
 #include "leadership_harness.hpp"
 
+#include <coltsfootrack/cell/leader_row.hpp>
+
 #include <algorithm>
 #include <cppunit/TestAssert.h>
 
@@ -86,6 +88,11 @@
     made.store.read_row = [this](const row_id& id, const auto& done)
     {
         read_result result;
+        if (!reads_answered_)
+        {
+            loop_.after(milliseconds(20), [done, result] { done(result); });
+            return;
+        }
         result.status = read_status::ok;
         result.version = store_.version();
         if (const stored_row row = store_.read(id); row.exists())
@@ -396,9 +403,22 @@
     run([&] { leadership_->on_job(base::job_id(id), job_row(leader_epoch)); });
 }
 
+void leadership_harness::put_leader_row(std::uint64_t epoch)
+{
+    leader_row row;
+    row.epoch = epoch;
+    row.daemon = base::daemon_id("d");
+    store_.put(layout_.leader(), encode(row));
+}
+
 void leadership_harness::begin()
 {
-    run([this] { leadership_->begin(); });
+    run(
+        [this]
+        {
+            put_leader_row(leadership_->epoch());
+            leadership_->begin();
+        });
 }
 
 bool leadership_harness::wait_started(const std::string& job,
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -98,6 +98,21 @@
     // Waits until the store has no rows of a job; false if the limit passes.
     bool wait_removed(const std::string& job, std::chrono::milliseconds limit);
 
+    // The store names this epoch as that of the leader. Call inside run().
+    void put_leader_row(std::uint64_t epoch);
+
+    // Whether the store answers reads. Call inside run().
+    void answer_reads(bool answered)
+    {
+        reads_answered_ = answered;
+    }
+
+    // The control thread stands still, as in a paused process.
+    void pause(std::chrono::milliseconds length)
+    {
+        run([length] { std::this_thread::sleep_for(length); });
+    }
+
     void begin();
 
     // Runs a function on the control thread and waits for it.
@@ -190,6 +205,7 @@
     bool list_complete_ = true;
     bool list_readable_ = true;
     bool isolated_ = false;
+    bool reads_answered_ = true;
     int leases_ = 0;
     bool unstored_worker_used_ = false;
     ports ports_;
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -48,7 +48,9 @@
     CPPUNIT_TEST(link_lost_makes_only_its_calls_directly);
     CPPUNIT_TEST(start_peer_may_send_only_until_leader_makes_it);
     CPPUNIT_TEST(status_late_does_not_shorten_send_limit);
-    CPPUNIT_TEST(call_repeated_directly_gets_new_send_limit);
+    CPPUNIT_TEST(start_repeated_directly_keeps_its_send_limit);
+    CPPUNIT_TEST(renewal_repeated_directly_gets_new_send_limit);
+    CPPUNIT_TEST(call_repeated_after_pause_is_past_its_send_limit);
     CPPUNIT_TEST(call_peer_of_unknown_clock_goes_elsewhere);
     CPPUNIT_TEST(stop_peer_may_send_at_any_time);
     CPPUNIT_TEST_SUITE_END();
@@ -556,19 +558,46 @@
         CPPUNIT_ASSERT(limit >= exact - milliseconds(21));
     }
 
-    void call_repeated_directly_gets_new_send_limit()
+    // The order says until when it may be sent, whoever sends it.
+    void start_repeated_directly_keeps_its_send_limit()
     {
         worker_relay_harness harness;
         harness.link("a-1", "a");
+        const base::time_point limit =
+            harness.clock.now() + worker_relay_harness::send_limit;
         harness.start(harness.worker("w", "a"));
+        harness.clock.advance(worker_relay::order_timeout);
+        harness.relay.expire();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.direct_calls.size());
+        CPPUNIT_ASSERT(harness.direct_calls[0].send_by == limit);
+    }
+
+    void renewal_repeated_directly_gets_new_send_limit()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
         harness.renew(harness.worker("w", "a"));
         harness.clock.advance(worker_relay::renewal_slack);
         harness.relay.expire();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.direct_calls.size());
+        CPPUNIT_ASSERT(harness.direct_calls[0].renewal.send_by ==
+                       harness.clock.now() + worker_relay::order_timeout);
+    }
+
+    // A leader that wakes up from a pause would start tasks and grant leases by
+    // a right to lead that another daemon has by now.
+    void call_repeated_after_pause_is_past_its_send_limit()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.start(harness.worker("w", "a"));
+        harness.renew(harness.worker("w", "a"), milliseconds(300));
+        harness.clock.advance(milliseconds(4000));
+        harness.relay.expire();
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.direct_calls.size());
-        const base::time_point limit =
-            harness.clock.now() + worker_relay::order_timeout;
-        CPPUNIT_ASSERT(harness.direct_calls[0].send_by == limit);
-        CPPUNIT_ASSERT(harness.direct_calls[1].renewal.send_by == limit);
+        CPPUNIT_ASSERT(harness.direct_calls[0].send_by < harness.clock.now());
+        CPPUNIT_ASSERT(harness.direct_calls[1].renewal.send_by <
+                       harness.clock.now());
     }
 
     void call_peer_of_unknown_clock_goes_elsewhere()
