--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -34,9 +34,20 @@
     // The rate of the VM's link, in bytes a second; 0 if unknown.
     std::uint64_t link_rate = 0;
 
-    // Frames to peers are compressed on links of at most this rate, in bytes a
-    // second (5 Mbit/s).
-    std::uint64_t compressed_link_rate = 625000;
+    // A link of at most this rate, in bytes a second, is thin (5 Mbit/s):
+    // frames to peers are compressed, and writes wait longer for others.
+    std::uint64_t thin_link_rate = 625000;
+
+    // How long progress that no caller waits for may wait for other writes of
+    // its part. Half of what a leader sends are such writes, mostly headers and
+    // conditions, which a transaction of several rows has once.
+    milliseconds group_delay{50};
+    milliseconds thin_link_group_delay{200};
+
+    bool has_thin_link() const
+    {
+        return link_rate > 0 && link_rate <= thin_link_rate;
+    }
 
     // The number of parts that jobs are spread over. A part runs the
     // transactions of all daemons one after another, each taking a third of a
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -72,7 +72,13 @@
     // Updates that are not urgent wait this long for others of their part,
     // since the platform charges for each transaction, and workers are renewed
     // after each.
-    static constexpr std::chrono::milliseconds group_delay{50};
+    static constexpr std::chrono::milliseconds default_group_delay{50};
+
+    explicit row_committer(
+        std::chrono::milliseconds group_delay = default_group_delay)
+        : group_delay_(group_delay)
+    {
+    }
 
     // Sets the row and version that transactions with updates depend on.
     void set_fence(std::optional<row_condition> fence);
@@ -85,7 +91,7 @@
     // Writes a row that only the holder of the fence writes, whatever its value
     // was. The value replaces a queued one of the same row, whose callback is
     // then called together with this one. An update that is not urgent may wait
-    // for group_delay. Without a fence the result is fenced.
+    // for the group delay. Without a fence the result is fenced.
     void update(const row_id& row, std::string value, bool urgent,
                 base::time_point now, callback done);
 
@@ -157,6 +163,7 @@
     std::optional<row_condition> fence_;
     std::map<row_id, std::uint64_t> versions_;
     std::deque<pending_write> queue_;
+    std::chrono::milliseconds group_delay_;
     std::vector<pending_write> batch_;
     // The fence that the batch was sent under.
     std::optional<row_condition> batch_fence_;
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -47,7 +47,10 @@
     , election_(options.daemon, options.incarnation, options.processor_milli,
                 election_options())
     , dispatcher_(options.daemon, options.long_ticket_request)
-    , committers_(options.job_parts)
+    , committers_(options.job_parts,
+                  row_committer(options.has_thin_link()
+                                    ? options.thin_link_group_delay
+                                    : options.group_delay))
     , catalogue_catch_up_(options.catalogue_request_delay,
                           options.catalogue_retry)
 {
@@ -80,8 +83,7 @@
     links.idle_timeout = 6 * options_.status_period;
     links.connect_timeout = std::chrono::milliseconds(600);
     links.max_incoming = max_peer_connections;
-    links.compress = options_.link_rate > 0 &&
-                     options_.link_rate <= options_.compressed_link_rate;
+    links.compress = options_.has_thin_link();
     links.max_backoff = std::chrono::milliseconds(800);
     wire::peer_events events;
     events.on_message =
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -40,7 +40,7 @@
 void row_committer::update(const row_id& row, std::string value, bool urgent,
                            base::time_point now, callback done)
 {
-    const base::time_point due = urgent ? now : now + group_delay;
+    const base::time_point due = urgent ? now : now + group_delay_;
     if (!fence_)
     {
         done(write_status::fenced);
--- a/test/cell/row_committer_test.cpp
+++ b/test/cell/row_committer_test.cpp
@@ -50,6 +50,8 @@
     CPPUNIT_TEST(insert_store_unresponsive_is_refused_at_once);
     CPPUNIT_TEST(insert_behind_slow_transaction_is_refused_in_time);
     CPPUNIT_TEST(update_not_urgent_waits_for_others);
+    CPPUNIT_TEST(update_within_group_delay_is_replaced_by_final_one);
+    CPPUNIT_TEST(update_due_after_group_delay_is_written);
     CPPUNIT_TEST(insert_beyond_limit_is_refused);
     CPPUNIT_TEST(update_after_lost_answer_keeps_newest_value);
     CPPUNIT_TEST(update_dropped_in_flight_is_not_sent_again);
@@ -194,6 +196,40 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, group->writes.size());
     }
 
+    // The tasks of a short job end within some 200 ms: on a thin link one write
+    // instead of one each.
+    void update_within_group_delay_is_replaced_by_final_one()
+    {
+        row_committer committer(milliseconds(200));
+        committer.set_fence(row_condition{fence_row, 1});
+        std::vector<write_status> seen;
+        const row_id row{"progress", "p0", "a"};
+        committer.update(row, "1 done", false, start, record(seen));
+        CPPUNIT_ASSERT(!committer.next(start + milliseconds(60)));
+        committer.update(row, "2 done", false, start + milliseconds(90),
+                         record(seen));
+        CPPUNIT_ASSERT(!committer.next(start + milliseconds(199)));
+        committer.update(row, "completed", true, start + milliseconds(199),
+                         record(seen));
+        const auto group = committer.next(start + milliseconds(199));
+        CPPUNIT_ASSERT(group);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group->writes.size());
+        CPPUNIT_ASSERT(group->writes[0].value == std::string("completed"));
+        committer.on_result(answer(transaction_status::committed),
+                            start + milliseconds(220));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, seen.size());
+    }
+
+    void update_due_after_group_delay_is_written()
+    {
+        row_committer committer(milliseconds(200));
+        committer.set_fence(row_condition{fence_row, 1});
+        std::vector<write_status> seen;
+        committer.update({"progress", "p0", "a"}, "1", false, start,
+                         record(seen));
+        CPPUNIT_ASSERT(committer.next(start + milliseconds(200)));
+    }
+
     void insert_beyond_limit_is_refused()
     {
         row_committer committer;
