Pass on the clock of a worker in the first millisecond of its life

A relayed answer with the clock 0 counted as one without a clock, so a worker that had restarted less than a millisecond before looked like its former life. Found by reading the diff; start_over_peer_keeps_clock_of_worker failed before.

--- a/src/cell/worker_messages.cpp
+++ b/src/cell/worker_messages.cpp
@@ -4,11 +4,16 @@
 
 #include <coltsfootrack/cell/peer_time.hpp>
 
+#include <algorithm>
+
 namespace coltsfootrack::cell
 {
 namespace
 {
 
+// Stands for a clock of 0 in messages, where 0 is none.
+constexpr std::chrono::milliseconds first_clock{1};
+
 wire::run_key key_of(const jobs::task_key& task, std::uint64_t run)
 {
     return {task.step.job, task.step.occurrence, task.step.step, task.index,
@@ -121,7 +126,9 @@
                               const fleet::start_result& result)
 {
     wire::worker_answer answer = answer_of(nonce, result.outcome);
-    answer.clock = result.clock.value_or(std::chrono::milliseconds(0));
+    // 0 stands for no clock.
+    answer.clock = result.clock ? std::max(*result.clock, first_clock)
+                                : std::chrono::milliseconds(0);
     return answer;
 }
 
--- a/test/cell/worker_relay_messages_test.cpp
+++ b/test/cell/worker_relay_messages_test.cpp
@@ -92,6 +92,7 @@
     CPPUNIT_TEST(order_unknown_outcome_number_is_unknown);
     CPPUNIT_TEST(renewal_unknown_outcome_number_is_retried_directly);
     CPPUNIT_TEST(renewal_unknown_end_kind_is_retried_directly);
+    CPPUNIT_TEST(start_over_peer_keeps_clock_of_worker);
     CPPUNIT_TEST(send_limit_out_of_range_becomes_nearest_time);
     CPPUNIT_TEST_SUITE_END();
 
@@ -130,6 +131,28 @@
         CPPUNIT_ASSERT(result == order_outcome::bad_ticket);
     }
 
+    // Without the clock a worker that has just restarted looks like its former
+    // life, and forgets ends that nobody has read.
+    void start_over_peer_keeps_clock_of_worker()
+    {
+        for (const std::int64_t clock_ms : {0, 1, 482113})
+        {
+            leader_and_peer both;
+            const auto worker = both.leader.worker("w-17", "a");
+            std::optional<fleet::start_result> result;
+            both.leader.port.start(
+                worker, large, {worker.worker, task_of_index(9), 1, "", "", ""},
+                milliseconds(5123), both.leader.clock.now() + milliseconds(450),
+                [&result](const fleet::start_result& r) { result = r; });
+            both.make_call().finish_start(
+                {order_outcome::carried_out, milliseconds(clock_ms)});
+            CPPUNIT_ASSERT(result->outcome == order_outcome::carried_out);
+            CPPUNIT_ASSERT(result->clock);
+            CPPUNIT_ASSERT(*result->clock - milliseconds(clock_ms) <=
+                           milliseconds(1));
+        }
+    }
+
     // A malformed message must not make the arithmetic of times overflow.
     void send_limit_out_of_range_becomes_nearest_time()
     {
