Acknowledge nothing after a late refusal of a peer

Cause: a renewal that a peer refuses is made directly with the numbers of the time when it was asked, up to 2.8 s before; the worker may have restarted and been started over another peer since. Found by reading.

Change: after the 0.6 s that a peer may hold a call it acknowledges no ends, like a repeated renewal.

--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -96,15 +96,22 @@
         lease_renewal probe = renewal;
         probe.wait = std::chrono::milliseconds(0);
         probe.acknowledged = 0;
+        const base::time_point asked_at = clock_.now();
         // A leader that was paused meanwhile sends nothing.
         const base::time_point latest =
-            clock_.now() + renewal.wait + renewal_slack + order_timeout;
+            asked_at + renewal.wait + renewal_slack + order_timeout;
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
             renewal.send_by,
-            [this, worker, renewal, probe, latest, done](bool repeated)
+            [this, worker, renewal, probe, asked_at, latest,
+             done](bool repeated)
             {
                 lease_renewal retry = repeated ? probe : renewal;
+                if (clock_.now() > asked_at + order_timeout)
+                {
+                    // The refusal of the peer took long.
+                    retry.acknowledged = 0;
+                }
                 retry.send_by = std::min(latest, clock_.now() + order_timeout);
                 direct_.renew(worker, retry, done);
             },
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -30,6 +30,7 @@
     CPPUNIT_TEST(call_no_peer_in_other_zone_uses_peer_elsewhere);
     CPPUNIT_TEST(call_stopping_peer_goes_elsewhere);
     CPPUNIT_TEST(renewal_without_peer_keeps_its_wait);
+    CPPUNIT_TEST(renewal_refused_late_acknowledges_nothing);
     CPPUNIT_TEST(renewal_direct_never_goes_to_peer);
     CPPUNIT_TEST(answer_duplicate_ends_call_once);
     CPPUNIT_TEST(answer_after_deadline_before_expiry_counts);
@@ -211,6 +212,21 @@
         }
     }
 
+    // By then the worker may have restarted.
+    void renewal_refused_late_acknowledges_nothing()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.renew(harness.worker("w", "a"), milliseconds(1000));
+        harness.clock.advance(worker_relay::order_timeout + milliseconds(1));
+        wire::worker_answer refused;
+        refused.nonce = harness.sent_calls.at(0).call.nonce;
+        harness.relay.on_answer(refused);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.direct_calls.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             harness.direct_calls[0].renewal.acknowledged);
+    }
+
     // An unresponsive peer must not make a worker count as lost.
     void renewal_direct_never_goes_to_peer()
     {
