Take the activity of the control thread for pauses, not its rounds

Cause: a long round delays the next one to four times its length. After a round of more than 250 ms, on a leader short of processor, the gap counted as a pause: no lease was granted until the next round, and the leader row was read.

That a long round is no pause any more has no test of the whole leader.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -89,15 +89,14 @@
     // time is not sent any more: peers take over from a leader that was paused
     // for so long, and its worker may have restarted and forgotten the run.
     milliseconds send_limit{1200};
-
-    // A leader that has run no round for this long was paused. It orders
-    // nothing until the store has shown that it still leads. At most the time
-    // after which a silent leader is replaced.
+    // A leader whose control thread was not active for this long was paused. It
+    // orders nothing until it has read the leader row. Less than the time after
+    // which a silent leader is replaced.
     milliseconds paused_after{1000};
-
-    // If the store does not answer, peers would have told it of a later leader
-    // by then: several of their status periods. Together with paused_after it
-    // exceeds isolated_after, so that a leader without peers does not go on.
+    // How long a leader that was paused and gets no answer from the store waits
+    // for the statuses of its peers, which name a later leader: more than two
+    // status periods. With paused_after it exceeds isolated_after, so that a
+    // leader without peers counts as isolated by then.
     milliseconds peers_confirm_after{600};
     // The minimum time between two scheduling rounds, so that a burst of events
     // shares one.
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -2,6 +2,7 @@
 #define COLTSFOOTRACK_CELL_LEADERSHIP_HPP_INCLUDED
 
 #include <coltsfootrack/cell/cell_options.hpp>
+#include <coltsfootrack/cell/pause_detector.hpp>
 #include <coltsfootrack/cell/ports.hpp>
 #include <coltsfootrack/cell/row_committer.hpp>
 #include <coltsfootrack/cell/row_layout.hpp>
@@ -154,12 +155,10 @@
     void remove_rows(std::size_t part, std::vector<base::job_id> ids);
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker);
-    // Whether the leader was paused for so long that a peer may have taken
-    // over.
-    bool may_be_replaced() const;
-    // Reads the leader row, and goes on or steps down.
+    // Reads the leader row after a pause, and goes on or steps down.
     void confirm_leadership();
     void read_leader_row();
+    void on_leader_row(const read_result& result, base::time_point sent);
     bool peers_confirm() const;
     void acknowledge_ends();
     // The same for one worker; returns whether it has ends to forget.
@@ -231,10 +230,10 @@
     std::vector<ordered_start> ordered_starts_;
     std::vector<ordered_start> unconfirmed_starts_;
     base::time_point last_round_;
-    // Whether the leader row is being read after a pause, and since when.
-    bool confirming_ = false;
-    base::time_point resumed_at_;
     base::duration last_round_time_{0};
+    pause_detector pauses_;
+    // Since when the leader row is being read after a pause.
+    std::optional<base::time_point> resumed_at_;
     // By part: whether a removal of rows is in flight.
     std::vector<bool> removing_;
     std::shared_ptr<bool> alive_;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -1,8 +1,8 @@
 // The work of the leader: orders, lease renewals and the stored progress of
-// jobs. The takeover is in leadership_takeover.cpp.
+// jobs. The takeover is in leadership_takeover.cpp, the check after a pause in
+// leadership_pause.cpp.
 
 #include <coltsfootrack/base/log.hpp>
-#include <coltsfootrack/cell/leader_row.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
 
 #include <algorithm>
@@ -24,24 +24,9 @@
 // next starts no earlier than this many times the length of the last after it.
 constexpr int round_time_divisor = 4;
 
-// The pause before the leader row is read again.
-constexpr std::chrono::milliseconds leader_row_retry_pause{100};
-
 // The round trip of a ticket request to a peer in another region.
 constexpr std::chrono::milliseconds ticket_round_trip{60};
 
-// Whether the leader row, as read, names this epoch.
-bool is_led_by(std::uint64_t epoch, const std::vector<stored_row>& rows)
-{
-    if (rows.empty())
-    {
-        return false;
-    }
-    const auto leader =
-        decode_leader_row(rows.front().value, rows.front().version);
-    return leader.ok() && leader->epoch == epoch;
-}
-
 } // namespace
 
 leadership::leadership(daemon::control_loop& loop, const base::clock& clock,
@@ -65,6 +50,7 @@
     , begun_at_(clock.now())
     , roster_(layout.part_count())
     , last_round_(clock.now())
+    , pauses_(options.paused_after, clock.now())
     , removing_(layout.part_count(), false)
     , alive_(std::make_shared<bool>(true))
 {
@@ -169,6 +155,7 @@
 
 void leadership::request_round()
 {
+    pauses_.note_activity(clock_.now());
     if (round_requested_ || lost_)
     {
         return;
@@ -194,7 +181,7 @@
     {
         return;
     }
-    if (may_be_replaced())
+    if (pauses_.paused(clock_.now()))
     {
         confirm_leadership();
         return;
@@ -217,70 +204,6 @@
     last_round_time_ = clock_.now() - last_round_;
 }
 
-bool leadership::may_be_replaced() const
-{
-    return confirming_ || clock_.now() - last_round_ > options_.paused_after;
-}
-
-// The fencing tokens of the workers do not replace this: a worker that has
-// restarted since the takeover knows none.
-void leadership::confirm_leadership()
-{
-    if (confirming_)
-    {
-        return;
-    }
-    confirming_ = true;
-    resumed_at_ = clock_.now();
-    metrics_.count_event("leader_paused");
-    base::log(base::log_level::warning, log_part,
-              "No round was run for some time; reading the leader row. "
-              "epoch={} ms={}",
-              epoch(),
-              std::chrono::duration_cast<std::chrono::milliseconds>(
-                  clock_.now() - last_round_)
-                  .count());
-    read_leader_row();
-}
-
-void leadership::read_leader_row()
-{
-    const base::time_point sent = clock_.now();
-    ports_.store.read_row(
-        layout_.leader(),
-        posted<read_result>(
-            [this, sent](const read_result& result)
-            {
-                hooks_.on_store(result.status == read_status::ok);
-                const bool overtaken =
-                    clock_.now() - sent > options_.paused_after;
-                const bool answered =
-                    result.status == read_status::ok && !overtaken;
-                if (answered && !is_led_by(epoch(), result.rows))
-                {
-                    report_lost("it was paused, and no longer leads");
-                    return;
-                }
-                if (!answered && !peers_confirm())
-                {
-                    loop_.after(leader_row_retry_pause,
-                                guarded([this] { read_leader_row(); }));
-                    return;
-                }
-                confirming_ = false;
-                last_round_ = clock_.now();
-                request_round();
-            }));
-}
-
-// Whether most of the cell is connected and has had the time to tell of a later
-// leader, whereupon this one would have stepped down.
-bool leadership::peers_confirm() const
-{
-    return clock_.now() - resumed_at_ >= options_.peers_confirm_after &&
-           !(hooks_.isolated && hooks_.isolated());
-}
-
 void leadership::carry_out(const fleet::start_order& order)
 {
     const auto found = fleet_.workers().find(order.worker);
@@ -446,8 +369,8 @@
 std::optional<std::chrono::milliseconds>
 leadership::grant_lease(const base::worker_id& worker)
 {
-    if (may_be_replaced() || (hooks_.isolated && hooks_.isolated()) ||
-        !roster_.stored(worker))
+    if (pauses_.paused(clock_.now()) ||
+        (hooks_.isolated && hooks_.isolated()) || !roster_.stored(worker))
     {
         return std::nullopt;
     }
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -228,7 +228,7 @@
             return;
         }
         loaded_ = true;
-        last_round_ = clock_.now();
+        pauses_.reset(clock_.now());
         loaded_progress_.clear();
         base::log(base::log_level::info, log_part,
                   "Takeover finished. epoch={} rows={} jobs={} ms={}", epoch(),
