Reword comments of the tests on restarts

Cause: readers stumbled over "ends that nobody has read" and "told to forget". Change: the usual terms, "acknowledged unread".

--- a/test/cell/paused_leader_test.cpp
+++ b/test/cell/paused_leader_test.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds soon{1000};
 constexpr milliseconds pause{1200};
 
-// A leader with one worker, and a job that arrives as the pause ends.
+// A leader with one worker and one job, before the pause.
 class paused_leader
 {
 public:
--- a/test/cell/worker_relay_messages_test.cpp
+++ b/test/cell/worker_relay_messages_test.cpp
@@ -131,8 +131,8 @@
         CPPUNIT_ASSERT(result == order_outcome::bad_ticket);
     }
 
-    // Without the clock a worker that has just restarted looks like its former
-    // life, and forgets ends that nobody has read.
+    // Without the clock a restarted worker is not recognized, and ends of its
+    // new life are acknowledged unread.
     void start_over_peer_keeps_clock_of_worker()
     {
         for (const std::int64_t clock_ms : {0, 1, 482113})
--- a/test/fleet/worker_restart_test.cpp
+++ b/test/fleet/worker_restart_test.cpp
@@ -1,6 +1,6 @@
 // Tests of acknowledgements to a worker that restarts under the same id. Its
-// new life numbers its ends from 1 again, so that an acknowledgement of ends of
-// the former life makes it forget ends that nobody has read, and their tasks
+// new life numbers its ends from 1 again. An acknowledgement of ends of the
+// former life would discard unread ends of the new one, whose tasks would then
 // run twice.
 
 #include "fleet_fixture.hpp"
@@ -88,11 +88,10 @@
         }
     }
 
-    // The ends that the worker was told to forget before the leader had read
-    // them.
-    int forgotten_unread() const
+    // The number of ends that were acknowledged unread.
+    int acknowledged_unread() const
     {
-        return forgotten_unread_;
+        return acknowledged_unread_;
     }
 
     int restarts() const
@@ -242,7 +241,7 @@
             ++acknowledged_;
             const bool unread =
                 read_.count({life_, ended_.front().number}) == 0;
-            forgotten_unread_ += unread ? 1 : 0;
+            acknowledged_unread_ += unread ? 1 : 0;
             ended_.pop_front();
         }
         worker_report report;
@@ -287,12 +286,12 @@
     // Calls reach it in the order in which they were made.
     std::deque<std::function<void()>> calls_;
     std::deque<std::function<void()>> answers_;
-    // The ends, by life and number, in reports that have reached the leader.
+    // The ends, by life and number, in reports that the leader received.
     std::set<std::pair<std::int64_t, std::uint64_t>> read_;
     int jobs_ = 0;
     int restarts_ = 0;
     int acknowledged_ = 0;
-    int forgotten_unread_ = 0;
+    int acknowledged_unread_ = 0;
 };
 
 } // namespace
@@ -380,7 +379,7 @@
             restarting_worker both(seed);
             both.run();
             CPPUNIT_ASSERT_EQUAL_MESSAGE("seed " + std::to_string(seed), 0,
-                                         both.forgotten_unread());
+                                         both.acknowledged_unread());
             restarts += both.restarts();
             acknowledged += both.acknowledged();
         }
