Add a failing test of a living worker that counts as lost

A leader whose link to a zone is full gets no answers of its workers. After the lease and two unanswered renewals it starts their tasks again, although the platform lists the workers and they list the ends of these tasks.

--- a/test/fleet/fleet_fixture.hpp
+++ b/test/fleet/fleet_fixture.hpp
@@ -120,6 +120,12 @@
         }
     }
 
+    // The same, and no peer confirms that the worker does not answer.
+    void fail_unconfirmed_renewals(const std::string& id, int count)
+    {
+        fail_renewals(id, count);
+    }
+
     static jobs::task_key task(const std::string& job, int index, int step = 0)
     {
         return {{base::job_id(job), 0, step}, index};
--- a/test/fleet/lost_run_test.cpp
+++ b/test/fleet/lost_run_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(lost_worker_keeps_its_tasks_until_lease_expired);
     CPPUNIT_TEST(slow_leader_does_not_start_task_of_answering_worker_again);
     CPPUNIT_TEST(slow_new_leader_does_not_start_task_of_answering_worker_again);
+    CPPUNIT_TEST(worker_behind_a_full_link_keeps_its_tasks_while_listed);
     CPPUNIT_TEST(run_whose_end_is_not_read_yet_is_not_started_again);
     CPPUNIT_TEST(inherited_task_whose_end_is_not_read_yet_is_not_started);
     CPPUNIT_TEST(ends_of_unresponsive_worker_are_not_acknowledged);
@@ -179,6 +180,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
     }
 
+    // Guards against a second run of a task that has ended: a full link delays
+    // the answers that list the end past their time-outs.
+    void worker_behind_a_full_link_keeps_its_tasks_while_listed()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        f.confirm_starts();
+        f.fleet_.grant_lease(base::worker_id("w"), f.now_);
+        f.add_ready_worker("v", 1000);
+        f.advance(milliseconds(6000));
+        f.fail_unconfirmed_renewals("w", 2);
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
     // Guards against a second run of a task that has ended: its end is listed
     // behind one of a job that this leader does not know yet.
     void run_whose_end_is_not_read_yet_is_not_started_again()
