Take a worker for lost only if a daemon near it gets no answer either

What callers saw: a task that had ended as done was started again 6.9 s after its end, on another worker (TWICE).

Cause: a worker counted as lost after two renewals of the leader, sent after its lease, without an answer. Behind a link that is full the answers arrive too late, while the worker lives and lists its ends, which the platform takes as noted 100 ms later.

Change: renewals of an unresponsive worker go to a peer in its zone first, and are then made by the leader. Only if the peer says that it got no answer either, the loss is confirmed. Without such a peer, a worker off the list counts as lost 5 s later, one on the list 30 s later. The peer's word has crossed the same link in time, so the link can't be the reason.

The harness of the leadership has workers that nobody reaches, which a peer confirms.

--- a/include/coltsfootrack/cell/lease_renewal.hpp
+++ b/include/coltsfootrack/cell/lease_renewal.hpp
@@ -25,9 +25,10 @@
     // The renewal is not sent after this time. Sent late, it could reach the
     // next life of the worker, whose ends have the same numbers.
     base::time_point send_by = base::time_point::max();
-    // The leader calls the worker itself, not through a peer, so that a missing
-    // answer is due to the worker.
-    bool direct = false;
+    // The worker did not answer the last renewal. The leader calls it itself,
+    // after a peer in the worker's zone if there is one: an unresponsive peer
+    // or a full link must not be taken for an unresponsive worker.
+    bool unresponsive = false;
 };
 
 // The answer to a lease_renewal.
@@ -37,6 +38,9 @@
     fleet::order_outcome outcome = fleet::order_outcome::unknown;
     // Set only with carried_out; the caller sets sent_at.
     fleet::worker_report report;
+    // The leader got no answer, nor did a peer in the worker's zone, which said
+    // so.
+    bool confirmed_unanswered = false;
 };
 
 } // namespace coltsfootrack::cell
--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -23,10 +23,11 @@
 //
 // One peer makes all calls to a worker, if possible one in the worker's
 // availability zone. The leader makes a call itself if it has no peer for the
-// worker, if the call is to be direct, or if the peer does not take or answer
-// it. Repeated stops, paces and renewals, and a repeated start of a run that
-// the worker has, have no further effect. If a repeated start is refused, that
-// says nothing about the first one, so the outcome is unknown.
+// worker, if the worker is unresponsive and no peer is in its zone, or if the
+// peer does not take or answer it. Repeated stops, paces and renewals, and a
+// repeated start of a run that the worker has, have no further effect. If a
+// repeated start is refused, that says nothing about the first one, so the
+// outcome is unknown.
 //
 // A start or renewal that is held up on its way to a peer must not reach the
 // worker after the leader has made it directly: the worker may have restarted
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -97,9 +97,10 @@
     void on_report(const base::worker_id& worker, const worker_report& report,
                    base::time_point now);
 
-    // A lease renewal that was sent at `sent` was not answered.
-    void on_renewal_failed(const base::worker_id& worker,
-                           base::time_point sent);
+    // A lease renewal that was sent at `sent` was not answered. `confirmed` if
+    // a daemon in the worker's zone got no answer either.
+    void on_renewal_failed(const base::worker_id& worker, base::time_point sent,
+                           bool confirmed);
 
     // Another worker answers at its address, so this one is gone, and its runs
     // with it.
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -52,6 +52,13 @@
     // that this daemon was too slow to read. The second one covers an answer
     // that was lost with its connection.
     int max_unanswered_renewals = 2;
+    // If no daemon near the worker confirms that it does not answer, the links
+    // to its zone may be full or cut. Then the worker counts as lost only if it
+    // is off the platform's list, which takes its own reports to the store, and
+    // a renewal sent this long after its lease expired was not answered.
+    milliseconds unconfirmed_loss_delay{5000};
+    // The same for a worker that stays on the list.
+    milliseconds listed_loss_delay{30000};
     // A run that its worker lists neither as running nor as ended is dropped
     // after this many consecutive reports.
     int max_missing_reports = 2;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -44,6 +44,10 @@
     // Consecutive unanswered renewals that were sent after its lease had
     // certainly expired.
     int unanswered_after_lease = 0;
+    // One of these was confirmed by a daemon in the worker's zone, and the last
+    // one that was sent.
+    bool loss_confirmed = false;
+    base::time_point last_unanswered_at;
     // Another worker has answered at its address.
     bool replaced = false;
     // The incarnation of the worker; changes when it restarts.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -425,7 +425,7 @@
     const bool waits = worker.synced && !worker.unresponsive &&
                        worker.ends_seen == worker.ends_durable;
     request.wait = waits ? renewal_wait() : std::chrono::milliseconds(0);
-    request.direct = worker.unresponsive;
+    request.unresponsive = worker.unresponsive;
     request.send_by = now + options_.send_limit;
     state.in_flight = true;
     state.acknowledged = request.acknowledged;
@@ -493,7 +493,8 @@
         {
             fleet_.on_replaced(id);
         }
-        fleet_.on_renewal_failed(id, result.report.sent_at);
+        fleet_.on_renewal_failed(id, result.report.sent_at,
+                                 result.confirmed_unanswered);
         remove_departed(id);
         state.next_at = now + renewal_retry_pause;
         loop_.after(renewal_retry_pause, guarded([this] { request_round(); }));
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -8,6 +8,7 @@
 #include <coltsfootrack/cell/worker_relay.hpp>
 
 #include <algorithm>
+#include <memory>
 #include <utility>
 
 namespace coltsfootrack::cell
@@ -48,6 +49,13 @@
 // epoch tells the worker that they are old.
 constexpr base::time_point no_send_limit = base::time_point::max();
 
+// Whether the worker was not reached or did not answer.
+bool is_unanswered(const renewal_result& result)
+{
+    return result.outcome == fleet::order_outcome::unknown ||
+           result.outcome == fleet::order_outcome::unhealthy;
+}
+
 // For the repetition of a start that a peer may have made: if it is refused,
 // the run of the first start may still exist, have ended, or start later.
 worker_port::start_callback after_first_start(worker_port::start_callback done)
@@ -85,7 +93,9 @@
                         const lease_renewal& renewal,
                         const renewal_callback& done)
     {
-        if (renewal.direct)
+        const auto peer = peer_for(worker);
+        const bool near = peer && peers_.at(*peer).zone == worker.zone;
+        if (renewal.unresponsive && !near)
         {
             direct_.renew(worker, renewal, done);
             return;
@@ -100,10 +110,11 @@
         // A leader that was paused meanwhile sends nothing.
         const base::time_point latest =
             asked_at + renewal.wait + renewal_slack + order_timeout;
+        const auto unanswered = std::make_shared<bool>(false);
         relay(
             worker, call_of(renewal), renewal.wait + renewal_slack,
             renewal.send_by,
-            [this, worker, renewal, probe, asked_at, latest,
+            [this, worker, renewal, probe, asked_at, latest, unanswered,
              done](bool repeated)
             {
                 lease_renewal retry = repeated ? probe : renewal;
@@ -113,15 +124,20 @@
                     retry.acknowledged = 0;
                 }
                 retry.send_by = std::min(latest, clock_.now() + order_timeout);
-                direct_.renew(worker, retry, done);
+                direct_.renew(worker, retry,
+                              [unanswered, done](renewal_result result)
+                              {
+                                  result.confirmed_unanswered =
+                                      *unanswered && is_unanswered(result);
+                                  done(std::move(result));
+                              });
             },
-            [done](const wire::worker_answer& answer)
+            [near, unanswered, done](const wire::worker_answer& answer)
             {
                 renewal_result result = renewal_of(answer);
-                if (result.outcome == fleet::order_outcome::unknown ||
-                    result.outcome == fleet::order_outcome::unhealthy)
+                if (is_unanswered(result))
                 {
-                    // The peer did not reach the worker.
+                    *unanswered = near;
                     return false;
                 }
                 done(std::move(result));
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -63,11 +63,22 @@
 
 // Whether nothing can be running on a worker any more and no run end from it
 // waits to be read here. An expired lease is not enough: the worker may be
-// answering while this daemon is starved of CPU.
+// answering while this daemon is starved of CPU or its link is full.
 bool fleet::is_lost(const worker_record& worker) const
 {
-    return worker.replaced ||
-           worker.unanswered_after_lease >= options_.max_unanswered_renewals;
+    if (worker.replaced)
+    {
+        return true;
+    }
+    if (worker.unanswered_after_lease < options_.max_unanswered_renewals)
+    {
+        return false;
+    }
+    const auto delay = worker.listed ? options_.listed_loss_delay
+                                     : options_.unconfirmed_loss_delay;
+    return worker.loss_confirmed ||
+           worker.lease.expired(worker.last_unanswered_at - delay,
+                                leader_since_);
 }
 
 void fleet::update_workers(base::time_point now)
@@ -81,8 +92,10 @@
             base::log(
                 base::log_level::warning, log_part,
                 "Runs of a lost worker dropped. worker={} runs={} "
-                "clock_ms={} lease_end_ms={}",
-                it->first.text(), worker.runs.size(),
+                "confirmed={} listed={} unanswered={} clock_ms={} "
+                "lease_end_ms={}",
+                it->first.text(), worker.runs.size(), worker.loss_confirmed,
+                worker.listed, worker.unanswered_after_lease,
                 worker.report_clock.count(),
                 worker.lease.granted().value_or(worker.report_clock).count());
             drop_all_runs(worker);
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -136,7 +136,8 @@
     return true;
 }
 
-void fleet::on_renewal_failed(const base::worker_id& id, base::time_point sent)
+void fleet::on_renewal_failed(const base::worker_id& id, base::time_point sent,
+                              bool confirmed)
 {
     const auto found = workers_.find(id);
     if (found == workers_.end())
@@ -148,12 +149,15 @@
     {
         worker.unresponsive = true;
         base::log(base::log_level::info, log_part,
-                  "Worker does not answer. worker={} runs={}", id.text(),
-                  worker.runs.size());
+                  "Worker does not answer. worker={} runs={} confirmed={} "
+                  "listed={}",
+                  id.text(), worker.runs.size(), confirmed, worker.listed);
     }
     if (worker.lease.expired(sent, leader_since_))
     {
         ++worker.unanswered_after_lease;
+        worker.loss_confirmed = worker.loss_confirmed || confirmed;
+        worker.last_unanswered_at = sent;
     }
 }
 
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -166,6 +166,9 @@
         result.outcome = unresponsive_.count(worker.worker.text()) != 0
                              ? fleet::order_outcome::unhealthy
                              : fleet::order_outcome::carried_out;
+        // As a peer in the worker's zone finds.
+        result.confirmed_unanswered =
+            result.outcome != fleet::order_outcome::carried_out;
         loop_.after(milliseconds(10), [done, result] { done(result); });
     };
     made.workers.start =
