Pass on compressed copies of the catalogue, one at a time, within a zone

Cause: each change was sent whole, 700 KB, by the store to each of 45 daemons, and by peers to each daemon that was behind, again every 500 ms from whichever peer had sent a status. One copy takes longer than that on 10 Mbit/s, so the copies delayed each other without an end, and filled the link between the regions, so that workers behind it seemed not to answer.

Change: a copy for a peer is compressed. A daemon asks peers of its own zone first, and doubles the time to its next request. In a cell of more than 16 daemons only two of a zone, those on the largest VMs, follow the catalogue in the store; the others rely on them while their statuses say that the store answers.

--- a/include/coltsfootrack/cell/catalogue_catch_up.hpp
+++ b/include/coltsfootrack/cell/catalogue_catch_up.hpp
@@ -2,6 +2,7 @@
 #define COLTSFOOTRACK_CELL_CATALOGUE_CATCH_UP_HPP_INCLUDED
 
 #include <coltsfootrack/base/clock.hpp>
+#include <coltsfootrack/base/id.hpp>
 
 #include <chrono>
 #include <cstdint>
@@ -12,40 +13,59 @@
 
 // Decides when a daemon requests a newer catalogue from a peer.
 //
-// When the catalogue of a large cell changes, the store delivers it to all
-// daemons at about the same time, so a daemon that learns of a newer
-// version waits for the store first. If it stays behind, it asks one peer at a
-// time: a catalogue with a few hundred routes is large, and a copy from each
-// peer at each status would saturate the links of small VMs.
+// A catalogue with some thousand routes fills a thin link for a second, so a
+// daemon asks one peer at a time and, as long as none has sent a copy, ever
+// less often. It asks peers of its own zone first, since the links between
+// zones are shared. One that follows the catalogue in the store waits for it
+// there at first: the store delivers a change to all of them at once.
 class catalogue_catch_up
 {
 public:
     using milliseconds = std::chrono::milliseconds;
 
-    // Requests a copy after being behind for `request_delay`, and again every
-    // `retry_interval`.
-    catalogue_catch_up(milliseconds request_delay, milliseconds retry_interval)
-        : request_delay_(request_delay)
-        , retry_interval_(retry_interval)
+    struct limits
+    {
+        // How long a daemon that follows the store waits for it.
+        milliseconds store_wait{300};
+        // How much longer it waits before it asks a peer of another zone.
+        milliseconds far_wait{500};
+        // The time until the next request; it doubles with each one that
+        // brought nothing, up to the second.
+        milliseconds retry{500};
+        milliseconds longest_retry{4000};
+    };
+
+    explicit catalogue_catch_up(const limits& values)
+        : limits_(values)
+        , retry_(values.retry)
     {
     }
 
     // Handles a status in which a peer has version `offered`; `own` is the
-    // local version, 0 for none. Returns whether to request that peer's copy.
-    bool on_status(std::uint64_t offered, std::uint64_t own,
+    // local version, 0 for none. `near` if the peer is in the same zone,
+    // `follows_store` if this daemon follows the catalogue in the store.
+    // Returns whether to request that peer's copy.
+    bool on_status(const base::daemon_id& peer, std::uint64_t offered,
+                   std::uint64_t own, bool near, bool follows_store,
                    base::time_point now);
 
     // The local catalogue has changed.
     void on_catalogue()
     {
         behind_since_.reset();
+        retry_ = limits_.retry;
     }
 
+    // The connection to a peer is lost, and with it the copy that it may have
+    // been sending.
+    void on_link_lost(const base::daemon_id& peer);
+
 private:
-    milliseconds request_delay_;
-    milliseconds retry_interval_;
+    limits limits_;
     std::optional<base::time_point> behind_since_;
-    std::optional<base::time_point> asked_at_;
+    std::optional<base::time_point> next_request_at_;
+    base::daemon_id asked_;
+    milliseconds retry_;
 };
 
 } // namespace coltsfootrack::cell
--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -140,6 +140,7 @@
 
     void follow_cell();
     void follow_catalogue();
+    bool follows_catalogue() const;
     void apply_cell_rows(const std::vector<stored_row>& rows, bool is_snapshot);
     void apply_catalogue(const std::string& document, const char* from);
     void register_member();
@@ -219,6 +220,12 @@
     std::uint64_t next_nonce_ = first_nonce(clock_);
     bool claiming_ = false;
     catalogue_catch_up catalogue_catch_up_;
+    catalogue_duty catalogue_duty_;
+    // When the store last told whether the catalogue has changed; nullopt after
+    // a failure.
+    std::optional<base::time_point> catalogue_heard_at_;
+    // The newest catalogue as it was last sent to a peer.
+    wire::catalogue_copy catalogue_copy_;
     std::uint64_t status_round_ = 0;
     traffic_log traffic_log_;
     bool store_up_ = false;
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -2,6 +2,8 @@
 #define COLTSFOOTRACK_CELL_CELL_OPTIONS_HPP_INCLUDED
 
 #include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/cell/catalogue_catch_up.hpp>
+#include <coltsfootrack/cell/catalogue_duty.hpp>
 #include <coltsfootrack/fleet/fleet_options.hpp>
 
 #include <chrono>
@@ -64,11 +66,11 @@
     // In a cell with more daemons, those that are not the leader send half as
     // many.
     std::size_t large_cell_size = 16;
-    // A daemon whose catalogue has been older than that of a peer for this long
-    // requests a copy from a peer, and repeats that after catalogue_retry. A
-    // change has to take effect within 2.5 s.
-    milliseconds catalogue_request_delay{300};
-    milliseconds catalogue_retry{500};
+    // When a copy of a newer catalogue is requested from a peer; a change has
+    // to take effect within 2.5 s. In a large cell, who follows the catalogue
+    // in the store.
+    catalogue_catch_up::limits catalogue_requests;
+    catalogue_duty::limits catalogue_followers;
     // How long a read of changes waits for one (long poll). A dead connection
     // is noticed after this time plus the timeout of the store.
     milliseconds follow_wait{1500};
--- a/include/coltsfootrack/cell/table_follower.hpp
+++ b/include/coltsfootrack/cell/table_follower.hpp
@@ -44,6 +44,10 @@
     // Starts by reading the whole table.
     void start();
 
+    // Whether changes are asked for; true at first. After false the read in
+    // flight still ends; after true the changes since then are read at once.
+    void set_active(bool active);
+
 private:
     void on_read(std::uint64_t version);
     void call_hook(const std::function<void()>& hook) const;
@@ -66,6 +70,9 @@
     std::uint64_t version_ = 0;
     // The last read of changes failed.
     bool failed_ = false;
+    bool active_ = true;
+    // Inactive, without a read in flight.
+    bool resting_ = false;
     std::shared_ptr<bool> alive_;
 };
 
--- a/include/coltsfootrack/wire/catalogue_copy.hpp
+++ b/include/coltsfootrack/wire/catalogue_copy.hpp
@@ -12,12 +12,15 @@
 struct catalogue_copy
 {
     std::uint64_t version = 0;
-    // In the stored encoding.
+    // In the stored encoding, or if `compressed` the output of compress_text on
+    // it.
     std::string document;
+    bool compressed = false;
 
     friend bool operator==(const catalogue_copy& a, const catalogue_copy& b)
     {
-        return a.version == b.version && a.document == b.document;
+        return a.version == b.version && a.document == b.document &&
+               a.compressed == b.compressed;
     }
 
     friend bool operator!=(const catalogue_copy& a, const catalogue_copy& b)
--- a/include/coltsfootrack/wire/cell_status.hpp
+++ b/include/coltsfootrack/wire/cell_status.hpp
@@ -30,6 +30,9 @@
     // The response time of the store as the sender measures it.
     std::chrono::milliseconds store_delay{0};
     std::uint64_t catalogue_version = 0;
+    // Time since the store last told the sender whether its catalogue has
+    // changed; absent if the sender does not follow it there or got no answer.
+    std::optional<std::chrono::milliseconds> catalogue_age;
     // The CPU capacity of the sender's VM, in thousandths of a core.
     std::uint32_t processor_milli = 0;
     // The sender's monotonic clock when it sent the status. Others send it back
@@ -48,7 +51,8 @@
                a.store_delay == b.store_delay &&
                a.catalogue_version == b.catalogue_version &&
                a.queues == b.queues && a.processor_milli == b.processor_milli &&
-               a.clock == b.clock && a.queues_known == b.queues_known;
+               a.clock == b.clock && a.queues_known == b.queues_known &&
+               a.catalogue_age == b.catalogue_age;
     }
 
     friend bool operator!=(const cell_status& a, const cell_status& b)
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -1145,7 +1145,8 @@
     VT_QUEUES = 20,
     VT_PROCESSOR_MILLI = 22,
     VT_CLOCK_MS = 24,
-    VT_QUEUES_KNOWN = 26
+    VT_QUEUES_KNOWN = 26,
+    VT_CATALOGUE_AGE_MS = 28
   };
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
@@ -1183,6 +1184,9 @@
   bool queues_known() const {
     return GetField<uint8_t>(VT_QUEUES_KNOWN, 0) != 0;
   }
+  int64_t catalogue_age_ms() const {
+    return GetField<int64_t>(VT_CATALOGUE_AGE_MS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
@@ -1200,6 +1204,7 @@
            VerifyField<uint32_t>(verifier, VT_PROCESSOR_MILLI, 4) &&
            VerifyField<int64_t>(verifier, VT_CLOCK_MS, 8) &&
            VerifyField<uint8_t>(verifier, VT_QUEUES_KNOWN, 1) &&
+           VerifyField<int64_t>(verifier, VT_CATALOGUE_AGE_MS, 8) &&
            verifier.EndTable();
   }
 };
@@ -1244,6 +1249,9 @@
   void add_queues_known(bool queues_known) {
     fbb_.AddElement<uint8_t>(CellStatus::VT_QUEUES_KNOWN, static_cast<uint8_t>(queues_known), 0);
   }
+  void add_catalogue_age_ms(int64_t catalogue_age_ms) {
+    fbb_.AddElement<int64_t>(CellStatus::VT_CATALOGUE_AGE_MS, catalogue_age_ms, -1LL);
+  }
   explicit CellStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1268,8 +1276,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>> queues = 0,
     uint32_t processor_milli = 0,
     int64_t clock_ms = -1LL,
-    bool queues_known = false) {
+    bool queues_known = false,
+    int64_t catalogue_age_ms = -1LL) {
   CellStatusBuilder builder_(_fbb);
+  builder_.add_catalogue_age_ms(catalogue_age_ms);
   builder_.add_clock_ms(clock_ms);
   builder_.add_catalogue_version(catalogue_version);
   builder_.add_leader_age_ms(leader_age_ms);
@@ -1298,7 +1308,8 @@
     const std::vector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>> *queues = nullptr,
     uint32_t processor_milli = 0,
     int64_t clock_ms = -1LL,
-    bool queues_known = false) {
+    bool queues_known = false,
+    int64_t catalogue_age_ms = -1LL) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto queues__ = queues ? _fbb.CreateVector<flatbuffers::Offset<coltsfootrack::wire::fb::QueueCount>>(*queues) : 0;
   return coltsfootrack::wire::fb::CreateCellStatus(
@@ -1314,14 +1325,16 @@
       queues__,
       processor_milli,
       clock_ms,
-      queues_known);
+      queues_known,
+      catalogue_age_ms);
 }
 
 struct CatalogueCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef CatalogueCopyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_VERSION = 4,
-    VT_DOCUMENT = 6
+    VT_DOCUMENT = 6,
+    VT_COMPRESSED = 8
   };
   uint64_t version() const {
     return GetField<uint64_t>(VT_VERSION, 0);
@@ -1329,11 +1342,15 @@
   const flatbuffers::String *document() const {
     return GetPointer<const flatbuffers::String *>(VT_DOCUMENT);
   }
+  bool compressed() const {
+    return GetField<uint8_t>(VT_COMPRESSED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffsetRequired(verifier, VT_DOCUMENT) &&
            verifier.VerifyString(document()) &&
+           VerifyField<uint8_t>(verifier, VT_COMPRESSED, 1) &&
            verifier.EndTable();
   }
 };
@@ -1348,6 +1365,9 @@
   void add_document(flatbuffers::Offset<flatbuffers::String> document) {
     fbb_.AddOffset(CatalogueCopy::VT_DOCUMENT, document);
   }
+  void add_compressed(bool compressed) {
+    fbb_.AddElement<uint8_t>(CatalogueCopy::VT_COMPRESSED, static_cast<uint8_t>(compressed), 0);
+  }
   explicit CatalogueCopyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1363,22 +1383,26 @@
 inline flatbuffers::Offset<CatalogueCopy> CreateCatalogueCopy(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    flatbuffers::Offset<flatbuffers::String> document = 0) {
+    flatbuffers::Offset<flatbuffers::String> document = 0,
+    bool compressed = false) {
   CatalogueCopyBuilder builder_(_fbb);
   builder_.add_version(version);
   builder_.add_document(document);
+  builder_.add_compressed(compressed);
   return builder_.Finish();
 }
 
 inline flatbuffers::Offset<CatalogueCopy> CreateCatalogueCopyDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t version = 0,
-    const char *document = nullptr) {
+    const char *document = nullptr,
+    bool compressed = false) {
   auto document__ = document ? _fbb.CreateString(document) : 0;
   return coltsfootrack::wire::fb::CreateCatalogueCopy(
       _fbb,
       version,
-      document__);
+      document__,
+      compressed);
 }
 
 struct JobCopy FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/src/cell/catalogue_catch_up.cpp
+++ b/src/cell/catalogue_catch_up.cpp
@@ -1,9 +1,13 @@
 #include <coltsfootrack/cell/catalogue_catch_up.hpp>
 
+#include <algorithm>
+
 namespace coltsfootrack::cell
 {
 
-bool catalogue_catch_up::on_status(std::uint64_t offered, std::uint64_t own,
+bool catalogue_catch_up::on_status(const base::daemon_id& peer,
+                                   std::uint64_t offered, std::uint64_t own,
+                                   bool near, bool follows_store,
                                    base::time_point now)
 {
     if (offered <= own)
@@ -14,13 +18,26 @@
     {
         behind_since_ = now;
     }
-    const bool asked_lately = asked_at_ && now - *asked_at_ < retry_interval_;
-    if (now - *behind_since_ < request_delay_ || asked_lately)
+    const milliseconds wait =
+        (follows_store ? limits_.store_wait : milliseconds(0)) +
+        (near ? milliseconds(0) : limits_.far_wait);
+    if (now - *behind_since_ < wait ||
+        (next_request_at_ && now < *next_request_at_))
     {
         return false;
     }
-    asked_at_ = now;
+    next_request_at_ = now + retry_;
+    retry_ = std::min(2 * retry_, limits_.longest_retry);
+    asked_ = peer;
     return true;
 }
 
+void catalogue_catch_up::on_link_lost(const base::daemon_id& peer)
+{
+    if (peer == asked_)
+    {
+        next_request_at_.reset();
+    }
+}
+
 } // namespace coltsfootrack::cell
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -51,8 +51,9 @@
                   row_committer(options.has_thin_link()
                                     ? options.thin_link_group_delay
                                     : options.group_delay))
-    , catalogue_catch_up_(options.catalogue_request_delay,
-                          options.catalogue_retry)
+    , catalogue_catch_up_(options.catalogue_requests)
+    , catalogue_duty_(options.daemon, options.processor_milli,
+                      options.catalogue_followers)
 {
     leader_ports_.workers = relay_.port();
     loop_.observe_delays(
@@ -114,6 +115,8 @@
                 election_.on_link(peer, false, clock_.now());
                 dispatcher_.on_link(peer, false);
                 relay_.on_link_lost(peer);
+                catalogue_catch_up_.on_link_lost(peer);
+                catalogue_duty_.on_link_lost(peer);
             });
     };
     auto started = wire::peer_links::start(links, clock_, base::system_random(),
--- a/src/cell/cell_daemon_catalogue.cpp
+++ b/src/cell/cell_daemon_catalogue.cpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/cell_daemon.hpp>
 #include <coltsfootrack/cell/page_budget.hpp>
+#include <coltsfootrack/wire/compressed_text.hpp>
 
 #include <utility>
 
@@ -14,6 +15,10 @@
 
 constexpr std::string_view log_part = "cell";
 
+// The longest catalogue that is taken from a peer, in bytes: one of the
+// platform with 4,000 routes has 700 KB.
+constexpr std::size_t max_catalogue_bytes = std::size_t(32) * 1024 * 1024;
+
 } // namespace
 
 void cell_daemon::follow_catalogue()
@@ -23,6 +28,9 @@
     {
         // A read that waits for changes is no sample of the store delay.
         record_store_result(answered, election_.store_delay());
+        catalogue_heard_at_ =
+            answered ? std::optional<base::time_point>(clock_.now())
+                     : std::nullopt;
     };
     const auto take = [this](const std::vector<stored_row>& rows)
     {
@@ -44,6 +52,14 @@
     catalogue_follower_->start();
 }
 
+// In a small cell everyone follows the catalogue: a copy from the store is the
+// quickest, and the links carry it.
+bool cell_daemon::follows_catalogue() const
+{
+    return members_.size() <= options_.large_cell_size ||
+           catalogue_duty_.follows(clock_.now());
+}
+
 void cell_daemon::apply_catalogue(const std::string& document, const char* from)
 {
     auto read = ports_.catalogue.read(document);
@@ -84,17 +100,38 @@
     const auto known = catalogue();
     if (known && m.version < known->version)
     {
+        if (catalogue_copy_.version != known->version)
+        {
+            catalogue_copy_ = {known->version,
+                               wire::compress_text(known->source), true};
+        }
+        const bool sent = links_->send(peer, catalogue_copy_);
         base::log(base::log_level::info, log_part,
-                  "Catalogue sent to a peer. peer={} version={} had={}",
-                  peer.text(), known->version, m.version);
-        links_->send(peer, wire::catalogue_copy{known->version, known->source});
+                  "Catalogue sent to a peer. peer={} version={} had={} "
+                  "bytes={} sent={}",
+                  peer.text(), known->version, m.version,
+                  catalogue_copy_.document.size(), sent);
     }
 }
 
 void cell_daemon::handle(const base::daemon_id& /*peer*/,
                          const wire::catalogue_copy& m)
 {
-    apply_catalogue(m.document, "peer");
+    if (!m.compressed)
+    {
+        apply_catalogue(m.document, "peer");
+        return;
+    }
+    const auto document =
+        wire::decompress_text(m.document, max_catalogue_bytes);
+    if (!document.ok())
+    {
+        base::log(base::log_level::error, log_part,
+                  "Catalogue of a peer cannot be read. error={}",
+                  std::string(document.status().message()));
+        return;
+    }
+    apply_catalogue(*document, "peer");
 }
 
 } // namespace coltsfootrack::cell
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -260,6 +260,10 @@
 // since each status goes to every peer.
 void cell_daemon::send_periodic_status()
 {
+    if (catalogue_follower_)
+    {
+        catalogue_follower_->set_active(follows_catalogue());
+    }
     ++status_round_;
     const bool large = members_.size() > options_.large_cell_size;
     if (leadership_ || !large || status_round_ % 2 == 0)
@@ -287,6 +291,12 @@
     status.store_age = election_.store_age(now);
     status.leader_age = election_.leader_age(now);
     status.store_delay = election_.store_delay();
+    if (catalogue_heard_at_ && !status.stopping && follows_catalogue())
+    {
+        status.catalogue_age =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                now - *catalogue_heard_at_);
+    }
     status.processor_milli = options_.processor_milli;
     status.clock = to_peer_time(now);
     if (leadership_ && leadership_->loaded())
@@ -326,9 +336,18 @@
     {
         step_down("peer " + peer.text() + " knows a later epoch");
     }
+    const auto member = members_.find(peer);
+    const bool near =
+        member != members_.end() && member->second.zone == options_.zone;
+    if (near)
+    {
+        catalogue_duty_.on_status(peer, m.processor_milli, m.catalogue_age,
+                                  clock_.now());
+    }
     const auto known = catalogue();
-    if (catalogue_catch_up_.on_status(m.catalogue_version,
-                                      known ? known->version : 0, clock_.now()))
+    if (catalogue_catch_up_.on_status(peer, m.catalogue_version,
+                                      known ? known->version : 0, near,
+                                      follows_catalogue(), clock_.now()))
     {
         links_->send(peer, wire::catalogue_request{known ? known->version : 0});
     }
--- a/src/cell/table_follower.cpp
+++ b/src/cell/table_follower.cpp
@@ -106,10 +106,25 @@
         });
 }
 
+void table_follower::set_active(bool active)
+{
+    active_ = active;
+    if (active_ && std::exchange(resting_, false))
+    {
+        failed_ = true;
+        follow();
+    }
+}
+
 void table_follower::follow()
 {
-    // After a failure the read does not wait for a change, since it would then
-    // take seconds to learn that the store is back.
+    if (!active_)
+    {
+        resting_ = true;
+        return;
+    }
+    // After a failure or a rest the read does not wait for a change, since it
+    // would then take seconds to learn that the store is back.
     const auto wait = failed_ ? std::chrono::milliseconds(0) : wait_;
     store_.follow(table_, version_, wait,
                   [this, alive = std::weak_ptr<bool>(alive_),
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -229,6 +229,7 @@
     value.processor_milli = m.processor_milli();
     value.clock = fields.age(m.clock_ms());
     value.queues_known = m.queues_known();
+    value.catalogue_age = fields.age(m.catalogue_age_ms());
     overlap_check check(size);
     for (std::size_t i = 0; m.queues() != nullptr && i < m.queues()->size();
          ++i)
@@ -246,7 +247,8 @@
 
 absl::StatusOr<message> read(const fb::CatalogueCopy& m)
 {
-    return message(catalogue_copy{m.version(), m.document()->str()});
+    return message(
+        catalogue_copy{m.version(), m.document()->str(), m.compressed()});
 }
 
 absl::StatusOr<message> read(const fb::JobCopy& m)
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -147,15 +147,18 @@
                     builder, m.epoch, leader, m.leading, m.stopping,
                     age_ms(m.store_age), age_ms(m.leader_age),
                     lease_ms(m.store_delay), m.catalogue_version, list,
-                    m.processor_milli, age_ms(m.clock), m.queues_known)
+                    m.processor_milli, age_ms(m.clock), m.queues_known,
+                    age_ms(m.catalogue_age))
                     .Union()};
     }
 
     encoded_body operator()(const catalogue_copy& m) const
     {
         const auto document = builder.CreateString(m.document);
-        return {fb::Body::CatalogueCopy,
-                fb::CreateCatalogueCopy(builder, m.version, document).Union()};
+        return {
+            fb::Body::CatalogueCopy,
+            fb::CreateCatalogueCopy(builder, m.version, document, m.compressed)
+                .Union()};
     }
 
     encoded_body operator()(const job_copy& m) const
--- a/test/cell/table_follower_test.cpp
+++ b/test/cell/table_follower_test.cpp
@@ -97,6 +97,11 @@
         run([&] { follows.at(follow)(result); });
     }
 
+    void set_active(bool active)
+    {
+        run([&] { follower_->set_active(active); });
+    }
+
     // Waits until a condition holds on the control thread, for 1 s at most.
     template <class Condition>
     bool wait_for(Condition condition)
@@ -153,6 +158,7 @@
     CPPUNIT_TEST(failed_part_alone_is_read_again);
     CPPUNIT_TEST(hook_throws_table_is_still_followed);
     CPPUNIT_TEST(failed_follow_is_retried_without_wait);
+    CPPUNIT_TEST(follower_inactive_asks_nothing_until_active);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -238,6 +244,33 @@
             table.wait_for([&] { return table.follows.size() == 3; }));
         CPPUNIT_ASSERT(table.followed_wait == milliseconds(1500));
     }
+
+    // Guards against changes that are missed, or read twice at a time, when the
+    // following of a table ends and begins again.
+    void follower_inactive_asks_nothing_until_active()
+    {
+        followed_table table;
+        for (std::size_t i = 0; i < 3; ++i)
+        {
+            table.answer(i, followed_table::page(table.reads[i].first, 7));
+        }
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 1; }));
+        table.set_active(false);
+        read_result nothing_new;
+        nothing_new.status = read_status::ok;
+        nothing_new.version = 9;
+        table.answer_follow(0, nothing_new);
+        // The answer is handled behind the one that is posted here.
+        table.run([] {});
+        table.run([] {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, table.follows.size());
+        table.set_active(true);
+        table.set_active(true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, table.follows.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{9}, table.followed_from);
+        CPPUNIT_ASSERT(table.followed_wait == milliseconds(0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(table_follower_test);
--- a/test/wire/frame_compression_test.cpp
+++ b/test/wire/frame_compression_test.cpp
@@ -6,6 +6,7 @@
 
 #include <coltsfootrack/base/error_kind.hpp>
 #include <coltsfootrack/wire/codec.hpp>
+#include <coltsfootrack/wire/compressed_text.hpp>
 #include <coltsfootrack/wire/frame_decoder.hpp>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -45,6 +46,9 @@
     CPPUNIT_TEST(frames_that_repeat_others_become_several_times_smaller);
     CPPUNIT_TEST(frame_of_any_bytes_is_read_or_an_error);
     CPPUNIT_TEST(frame_too_large_when_decompressed_is_an_error);
+    CPPUNIT_TEST(text_compressed_is_several_times_smaller_and_read_back);
+    CPPUNIT_TEST(text_of_any_bytes_is_read_or_an_error);
+    CPPUNIT_TEST(text_too_long_when_decompressed_is_an_error);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -136,6 +140,40 @@
         decoder.append(*encode_frame("x"));
         CPPUNIT_ASSERT(!decoder.next().ok());
     }
+
+    // Guards against full links when a catalogue of thousands of routes
+    // changes.
+    void text_compressed_is_several_times_smaller_and_read_back()
+    {
+        std::string text;
+        for (int i = 0; i < 4000; ++i)
+        {
+            text += R"({"host":"h)" + std::to_string(i * 7919 % 100000) +
+                    R"(.example","path_prefix":"/p)" + std::to_string(i) +
+                    R"(/","service":"s","timeout_ms":3000,"priority":1})";
+        }
+        const std::string compressed = compress_text(text);
+        CPPUNIT_ASSERT(4 * compressed.size() < text.size());
+        const auto read = decompress_text(compressed, text.size());
+        CPPUNIT_ASSERT(read.ok());
+        CPPUNIT_ASSERT(*read == text);
+    }
+
+    void text_of_any_bytes_is_read_or_an_error()
+    {
+        const bool holds = rc::check([](const std::string& bytes)
+                                     { (void)decompress_text(bytes, 100000); });
+        CPPUNIT_ASSERT(holds);
+    }
+
+    void text_too_long_when_decompressed_is_an_error()
+    {
+        const std::string compressed = compress_text(std::string(10000, 'a'));
+        CPPUNIT_ASSERT(decompress_text(compressed, 10000).ok());
+        CPPUNIT_ASSERT(
+            base::kind_of(decompress_text(compressed, 9999).status()) ==
+            base::error_kind::peer_protocol);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(frame_compression_test);
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -62,6 +62,7 @@
     value.processor_milli = *rc::gen::arbitrary<std::uint32_t>();
     value.clock = any_age();
     value.queues_known = *rc::gen::arbitrary<bool>();
+    value.catalogue_age = any_age();
     const int queues = *rc::gen::inRange(0, 10);
     for (int i = 0; i < queues; ++i)
     {
@@ -182,7 +183,8 @@
     case 8:
         return any_cell_status();
     case 9:
-        return catalogue_copy{any_number(), *rc::gen::string<std::string>()};
+        return catalogue_copy{any_number(), *rc::gen::string<std::string>(),
+                              *rc::gen::arbitrary<bool>()};
     case 10:
         return job_copy{any_id<base::job_id>(),
                         *rc::gen::string<std::string>()};
