Count bytes of cut-off frames and log links that take nothing

So logs could not tell a full link from a slow peer. The new test uses a counter that the former code lacks.

--- a/include/coltsfootrack/wire/peer_traffic.hpp
+++ b/include/coltsfootrack/wire/peer_traffic.hpp
@@ -22,6 +22,8 @@
     // passed to the operating system.
     std::array<counts, message_type_count> sent{};
     std::array<counts, message_type_count> received{};
+    // Bytes of frames whose connection closed before their last byte arrived.
+    std::uint64_t received_incomplete = 0;
     // Heartbeats dropped from full output queues.
     std::uint64_t heartbeats_dropped = 0;
     // Messages that were not queued: peer unknown or not connected, or queue
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -317,6 +317,7 @@
         totals["peer_" + std::string(name)] = {peers.sent[i].bytes,
                                                peers.received[i].bytes};
     }
+    totals["peer_incomplete"] = {0, peers.received_incomplete};
     for (const auto& [purpose, counts] : totals)
     {
         metrics_.set_value("bytes_sent_" + purpose,
--- a/src/wire/incoming_link.hpp
+++ b/src/wire/incoming_link.hpp
@@ -38,6 +38,12 @@
         return peer_;
     }
 
+    // The bytes received of a frame that is not complete yet.
+    std::size_t incomplete_bytes() const
+    {
+        return decoder_.buffered();
+    }
+
     // When the link must be closed if nothing more is received.
     base::time_point deadline() const;
 
--- a/src/wire/outgoing_link.cpp
+++ b/src/wire/outgoing_link.cpp
@@ -4,6 +4,7 @@
 
 #include "sockets.hpp"
 
+#include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/wire/frame_decoder.hpp>
 
 #include <algorithm>
@@ -16,6 +17,8 @@
 namespace
 {
 
+constexpr std::string_view log_part = "wire";
+
 // Frames are passed to the operating system once they are this long together.
 constexpr std::size_t max_buffer_bytes = std::size_t(64) * 1024;
 
@@ -104,6 +107,17 @@
     }
     if (now >= deadline())
     {
+        if (state_ == state::open)
+        {
+            base::log(base::log_level::info, log_part,
+                      "Connection closed: the peer has taken nothing. peer={} "
+                      "idle_ms={} queued_bytes={}",
+                      address_.daemon.text(),
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - last_progress_)
+                          .count(),
+                      queued_bytes_ + buffer_.size() - buffer_sent_);
+        }
         close(now, random);
     }
 }
--- a/src/wire/peer_links_impl.cpp
+++ b/src/wire/peer_links_impl.cpp
@@ -402,6 +402,7 @@
             entry.in = nullptr;
         }
     }
+    traffic_.received_incomplete += link.incomplete_bytes();
     std::replace(polled_incoming_.begin(), polled_incoming_.end(), &link,
                  static_cast<incoming_link*>(nullptr));
     incoming_.remove_if([&](const incoming_link& other)
--- a/test/wire/peer_links_test.cpp
+++ b/test/wire/peer_links_test.cpp
@@ -142,6 +142,7 @@
     CPPUNIT_TEST(lost_connection_reconnects);
     CPPUNIT_TEST(silent_peer_reported_down);
     CPPUNIT_TEST(faulty_incoming_connection_closed_and_others_served);
+    CPPUNIT_TEST(frame_cut_off_by_its_connection_is_counted);
     CPPUNIT_TEST(start_bad_settings_refused);
     CPPUNIT_TEST(traffic_counts_match_on_both_sides);
     CPPUNIT_TEST(frames_are_compressed_only_for_peer_that_accepts);
@@ -403,6 +404,21 @@
             }));
     }
 
+    // Guards against a full link of which the counted traffic shows nothing.
+    void frame_cut_off_by_its_connection_is_counted()
+    {
+        node a("a");
+        const std::string frame =
+            frame_of(job_copy{base::job_id("j"), std::string(2000, 'x')});
+        {
+            raw_socket socket;
+            CPPUNIT_ASSERT(socket.connect_to(a.links->port()));
+            CPPUNIT_ASSERT(socket.send_all(frame.substr(0, 1500)));
+        }
+        CPPUNIT_ASSERT(eventually(
+            [&] { return a.links->traffic().received_incomplete == 1500; }));
+    }
+
     void start_bad_settings_refused()
     {
         peer_links_options options;
