Drop the pending calls of a leader that steps down

Cause: a leader that had stepped down still repeated its relayed start directly 0.6 s after it. The worker had restarted in between, knew no fencing token, and took the start of the former leader beside those of the next one. A task that had ended elsewhere could have been run twice the same way.

Change: a leader that steps down drops its pending calls.

--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -81,6 +81,11 @@
     // runs late does not count them as missing.
     void expire();
 
+    // Drops the calls that await their answers, without calling their
+    // callbacks: this daemon no longer leads. Made directly they could reach a
+    // worker that has restarted and knows no later leader.
+    void abandon();
+
     // Whether a call awaits its answer.
     bool has_pending_calls() const
     {
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -248,6 +248,7 @@
     base::log(base::log_level::warning, log_part,
               "Stepped down. epoch={} reason={}", leadership_->epoch(), reason);
     leadership_.reset();
+    relay_.abandon();
     election_.set_leading(false);
     for (row_committer& committer : committers_)
     {
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -387,6 +387,11 @@
     }
 }
 
+void worker_relay::abandon()
+{
+    calls_.clear();
+}
+
 void worker_relay::call_directly(std::uint64_t nonce, bool repeated,
                                  const char* reason)
 {
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(link_lost_makes_only_its_calls_directly);
     CPPUNIT_TEST(start_peer_may_send_only_until_leader_makes_it);
     CPPUNIT_TEST(status_late_does_not_shorten_send_limit);
+    CPPUNIT_TEST(calls_of_former_leader_are_not_repeated);
     CPPUNIT_TEST(start_repeated_directly_keeps_its_send_limit);
     CPPUNIT_TEST(renewal_repeated_directly_gets_new_send_limit);
     CPPUNIT_TEST(call_repeated_after_pause_is_past_its_send_limit);
@@ -632,6 +633,26 @@
         CPPUNIT_ASSERT(limit >= exact - milliseconds(21));
     }
 
+    // Guards against a worker that restarts, knows no fencing token, and takes
+    // a start of a leader that has stepped down.
+    void calls_of_former_leader_are_not_repeated()
+    {
+        worker_relay_harness harness;
+        harness.link("a-1", "a");
+        harness.start(harness.worker("w", "a"));
+        harness.stop(harness.worker("w", "a"));
+        harness.renew(harness.worker("w", "a"));
+        harness.relay.abandon();
+        CPPUNIT_ASSERT(!harness.relay.has_pending_calls());
+        harness.clock.advance(std::chrono::seconds(2));
+        harness.relay.expire();
+        harness.relay.on_answer(harness.answer_to(harness.sent_calls.at(0),
+                                                  order_outcome::unknown));
+        harness.relay.on_link_lost(peer_a);
+        CPPUNIT_ASSERT(harness.direct_calls.empty());
+        CPPUNIT_ASSERT(harness.outcomes.empty());
+    }
+
     // The order says until when it may be sent, whoever sends it.
     void start_repeated_directly_keeps_its_send_limit()
     {
