Repeat a start only while the leader awaits its outcome

Cause: a relayed start whose answer is missing is made directly after 0.6 s, also if its run has been listed, has ended, or is to be stopped. A worker that has restarted since has forgotten the run and takes it again: a second run of a task whose end may be stored.

Change: before the repetition the relay asks the leader whether the start has no outcome yet, and its run is neither listed nor to be stopped. If not, or while the leader was paused, it is not made, and its outcome is unknown.

The tests use a hook that the former code lacks.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -92,6 +92,16 @@
         return loaded_;
     }
 
+    // Whether a start that was ordered is still to be carried out: it has no
+    // outcome yet, the run is neither listed nor to be stopped, and the leader
+    // was not paused.
+    bool awaits_start(const base::worker_id& worker, const jobs::task_key& task,
+                      std::uint64_t run) const
+    {
+        return !pauses_.paused(clock_.now()) &&
+               fleet_.awaits_start(worker, task, run);
+    }
+
     std::optional<jobs::job_state> state_of(const base::job_id& job) const;
 
     std::map<std::string, int> waiting_counts() const;
--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -59,6 +59,16 @@
     worker_relay(const worker_relay&) = delete;
     worker_relay& operator=(const worker_relay&) = delete;
 
+    // Asked before a start is made a second time: whether the leader still
+    // waits for its outcome. A worker that has restarted would run a task again
+    // whose end the leader knows.
+    using start_filter = std::function<bool(
+        const base::worker_id&, const jobs::task_key&, std::uint64_t run)>;
+    void set_start_filter(start_filter is_awaited)
+    {
+        is_awaited_ = std::move(is_awaited);
+    }
+
     // The port for the leader, which refers to this object.
     worker_port port();
 
@@ -138,6 +148,7 @@
     const base::clock& clock_;
     daemon::metrics& metrics_;
     sender send_;
+    start_filter is_awaited_;
     std::map<base::daemon_id, peer_state> peers_;
     std::map<std::uint64_t, pending_call> calls_;
     std::uint64_t next_nonce_;
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -150,6 +150,11 @@
     std::optional<std::chrono::milliseconds>
     grant_lease(const base::worker_id& worker, base::time_point now);
 
+    // Whether a start order has no outcome yet, and its run is neither listed
+    // nor to be stopped.
+    bool awaits_start(const base::worker_id& worker, const jobs::task_key& task,
+                      std::uint64_t run) const;
+
     // The run ends up to this number are stored, and the worker may forget
     // them. 0 while the worker may have restarted and numbers others like them.
     std::uint64_t acknowledged(const base::worker_id& worker) const;
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -56,6 +56,11 @@
                       options.catalogue_followers)
 {
     leader_ports_.workers = relay_.port();
+    relay_.set_start_filter(
+        [this](const base::worker_id& worker, const jobs::task_key& task,
+               std::uint64_t run) {
+            return leadership_ && leadership_->awaits_start(worker, task, run);
+        });
     loop_.observe_delays(
         [this](bool timer, base::duration delay)
         {
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -155,6 +155,13 @@
             [this, worker, epoch, order, lease_end, send_by,
              done](bool repeated)
             {
+                if (repeated && is_awaited_ &&
+                    !is_awaited_(worker.worker, order.task, order.run))
+                {
+                    metrics_.count_event("worker_start_not_repeated");
+                    done({fleet::order_outcome::unknown, std::nullopt});
+                    return;
+                }
                 direct_.start(worker, epoch, order, lease_end, send_by,
                               repeated ? after_first_start(done) : done);
             },
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -114,6 +114,20 @@
     return may_have_restarted ? 0 : worker.ends_durable;
 }
 
+bool fleet::awaits_start(const base::worker_id& id, const jobs::task_key& task,
+                         std::uint64_t run) const
+{
+    const auto found = workers_.find(id);
+    if (found == workers_.end())
+    {
+        return false;
+    }
+    const auto active = found->second.runs.find(task);
+    return active != found->second.runs.end() && active->second.run == run &&
+           active->second.phase == run_phase::starting &&
+           active->second.start_pending;
+}
+
 std::uint64_t fleet::stored_ends(const base::worker_id& id) const
 {
     const auto found = workers_.find(id);
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -54,6 +54,8 @@
     CPPUNIT_TEST(start_peer_may_send_only_until_leader_makes_it);
     CPPUNIT_TEST(status_late_does_not_shorten_send_limit);
     CPPUNIT_TEST(calls_of_former_leader_are_not_repeated);
+    CPPUNIT_TEST(start_that_is_not_awaited_is_not_repeated);
+    CPPUNIT_TEST(start_that_no_peer_takes_is_made_without_filter);
     CPPUNIT_TEST(start_repeated_directly_keeps_its_send_limit);
     CPPUNIT_TEST(renewal_repeated_directly_gets_new_send_limit);
     CPPUNIT_TEST(call_repeated_after_pause_is_past_its_send_limit);
@@ -653,6 +655,38 @@
         CPPUNIT_ASSERT(harness.outcomes.empty());
     }
 
+    // Guards against a second run of a task whose end was read while the answer
+    // of the peer was missing, on a worker that has restarted since.
+    void start_that_is_not_awaited_is_not_repeated()
+    {
+        worker_relay_harness harness;
+        bool awaited = true;
+        harness.relay.set_start_filter(
+            [&awaited](const base::worker_id&, const jobs::task_key&,
+                       std::uint64_t) { return awaited; });
+        harness.link("a-1", "a");
+        harness.start(harness.worker("w", "a"));
+        harness.start(harness.worker("v", "a"));
+        harness.clock.advance(worker_relay::order_timeout);
+        awaited = false;
+        harness.relay.expire();
+        CPPUNIT_ASSERT(harness.direct_calls.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, harness.outcomes.size());
+        CPPUNIT_ASSERT(harness.outcomes[0] == order_outcome::unknown);
+        CPPUNIT_ASSERT(!harness.relay.has_pending_calls());
+    }
+
+    // Nobody else has made it, so that its outcome is known.
+    void start_that_no_peer_takes_is_made_without_filter()
+    {
+        worker_relay_harness harness;
+        harness.relay.set_start_filter(
+            [](const base::worker_id&, const jobs::task_key&, std::uint64_t)
+            { return false; });
+        harness.start(harness.worker("w", "a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, harness.direct_calls.size());
+    }
+
     // The order says until when it may be sent, whoever sends it.
     void start_repeated_directly_keeps_its_send_limit()
     {
--- a/test/fleet/worker_restart_test.cpp
+++ b/test/fleet/worker_restart_test.cpp
@@ -303,6 +303,7 @@
     CPPUNIT_TEST(start_without_answer_withholds_acknowledgement_until_listed);
     CPPUNIT_TEST(start_answered_by_new_life_withholds_acknowledgement);
     CPPUNIT_TEST(start_answered_by_same_life_allows_acknowledgement);
+    CPPUNIT_TEST(start_is_awaited_until_outcome_listing_or_stop);
     CPPUNIT_TEST(stopped_start_without_answer_withholds_acknowledgement);
     CPPUNIT_TEST(acknowledgement_never_reaches_ends_of_another_life);
     CPPUNIT_TEST_SUITE_END();
@@ -358,6 +359,37 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, f.fleet_.acknowledged(w));
     }
 
+    // A start is repeated only while nothing is known of it.
+    void start_is_awaited_until_outcome_listing_or_stop()
+    {
+        const auto awaited = [](stored_end_fixture& f)
+        {
+            return f.fleet_.awaits_start(w, f.starts[1].task, f.starts[1].run);
+        };
+        stored_end_fixture answered;
+        CPPUNIT_ASSERT(awaited(answered));
+        answered.finish_start(order_outcome::carried_out);
+        CPPUNIT_ASSERT(!awaited(answered));
+
+        stored_end_fixture ended;
+        ended.advance(milliseconds(50));
+        ended.report("w", {},
+                     {end_of(2, ended.starts[1].task, ended.starts[1].run,
+                             end_kind::done)});
+        CPPUNIT_ASSERT(!awaited(ended));
+
+        stored_end_fixture listed;
+        listed.advance(milliseconds(50));
+        listed.report("w",
+                      {running(listed.starts[1].task, listed.starts[1].run)});
+        CPPUNIT_ASSERT(!awaited(listed));
+
+        stored_end_fixture stopped;
+        stopped.fleet_.cancel_job(base::job_id("second"), stopped.now_);
+        stopped.run_round();
+        CPPUNIT_ASSERT(!awaited(stopped));
+    }
+
     // The answer to the start is lost after the run was to be stopped.
     void stopped_start_without_answer_withholds_acknowledgement()
     {
