Confirm both unanswered renewals, and ask a silent worker two ways at once

Causes: one confirmed renewal was enough, so one time-out of a peer whose own link is full could confirm a loss. A call that was never sent, and a worker that answered 429 or 503, counted as no answer. A draining worker off the list was taken for departed after one missed renewal. And the peer was asked before the leader, which made each try take 1.2 s.

Change: two confirmed renewals; late and refused confirm nothing; departure needs a confirmation; a leader alone in its zone confirms by itself; peer and leader are asked at the same time. Without confirmation a worker off the list counts as lost after 10 s, 5 s before.

--- a/include/coltsfootrack/cell/lease_renewal.hpp
+++ b/include/coltsfootrack/cell/lease_renewal.hpp
@@ -26,20 +26,23 @@
     // next life of the worker, whose ends have the same numbers.
     base::time_point send_by = base::time_point::max();
     // The worker did not answer the last renewal. The leader calls it itself,
-    // after a peer in the worker's zone if there is one: an unresponsive peer
-    // or a full link must not be taken for an unresponsive worker.
+    // and through a peer in the worker's zone if there is one: neither an
+    // unresponsive peer nor a full link must be taken for an unresponsive
+    // worker.
     bool unresponsive = false;
 };
 
 // The answer to a lease_renewal.
 struct renewal_result
 {
-    // carried_out, fenced, other_worker, refused, or unknown if unanswered.
+    // carried_out, fenced, other_worker, refused, late if it was not sent in
+    // time, unhealthy if the worker could not be connected to, or unknown if
+    // unanswered.
     fleet::order_outcome outcome = fleet::order_outcome::unknown;
     // Set only with carried_out; the caller sets sent_at.
     fleet::worker_report report;
     // The leader got no answer, nor did a peer in the worker's zone, which said
-    // so.
+    // so; or the leader is the only daemon of that zone.
     bool confirmed_unanswered = false;
 };
 
--- a/include/coltsfootrack/cell/worker_relay.hpp
+++ b/include/coltsfootrack/cell/worker_relay.hpp
@@ -138,6 +138,9 @@
                std::chrono::milliseconds limit, base::time_point send_by,
                direct_call direct,
                std::function<bool(const wire::worker_answer&)> answer);
+    void renew_over_both(const fleet::worker_listing& worker,
+                         const lease_renewal& renewal,
+                         const renewal_callback& done);
     void relay_order(const fleet::worker_listing& worker,
                      wire::worker_call call, direct_call direct,
                      worker_port::order_callback done);
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -52,11 +52,12 @@
     // that this daemon was too slow to read. The second one covers an answer
     // that was lost with its connection.
     int max_unanswered_renewals = 2;
-    // If no daemon near the worker confirms that it does not answer, the links
-    // to its zone may be full or cut. Then the worker counts as lost only if it
-    // is off the platform's list, which takes its own reports to the store, and
-    // a renewal sent this long after its lease expired was not answered.
-    milliseconds unconfirmed_loss_delay{5000};
+    // Each of them has to be confirmed by a daemon near the worker that got no
+    // answer either; else the links to its zone may be full or cut. Without
+    // that, the worker counts as lost only if it is off the platform's list,
+    // which takes its own reports to the store, and a renewal sent this long
+    // after its lease expired was not answered.
+    milliseconds unconfirmed_loss_delay{10000};
     // The same for a worker that stays on the list.
     milliseconds listed_loss_delay{30000};
     // A run that its worker lists neither as running nor as ended is dropped
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -44,10 +44,13 @@
     // Consecutive unanswered renewals that were sent after its lease had
     // certainly expired.
     int unanswered_after_lease = 0;
-    // One of these was confirmed by a daemon in the worker's zone, and the last
-    // one that was sent.
-    bool loss_confirmed = false;
+    // Those of them that a daemon in the worker's zone confirmed, and when the
+    // last one was sent.
+    int confirmed_after_lease = 0;
     base::time_point last_unanswered_at;
+    // The last renewal was not answered, which a daemon in the worker's zone
+    // confirmed.
+    bool silence_confirmed = false;
     // Another worker has answered at its address.
     bool replaced = false;
     // The incarnation of the worker; changes when it restarts.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -377,14 +377,16 @@
     return fleet_.grant_lease(worker, clock_.now());
 }
 
-// A worker that announced its departure, is off the list and does not answer
-// has left with its tasks. Without this, the jobs of a service would wait for
-// the longest lease after each change of leaders near such a departure.
+// A worker that announced its departure, is off the list and does not answer,
+// as a daemon near it confirms, has left with its tasks. Without this, the jobs
+// of a service would wait for the longest lease after each change of leaders
+// near such a departure.
 void leadership::remove_departed(const base::worker_id& id)
 {
     const auto found = fleet_.workers().find(id);
     if (found != fleet_.workers().end() && found->second.listing.leaving &&
-        !found->second.listed && found->second.unresponsive)
+        !found->second.listed && found->second.unresponsive &&
+        found->second.silence_confirmed)
     {
         roster_.remove(id);
     }
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <utility>
 
 namespace coltsfootrack::cell
@@ -56,6 +58,74 @@
            result.outcome == fleet::order_outcome::unhealthy;
 }
 
+// A renewal that a peer and the leader make at the same time. Ends with the
+// first answer of the worker, or when both have none.
+//
+// Thread safety: the functions may be called from any thread.
+class joined_renewal
+{
+public:
+    explicit joined_renewal(std::function<void(renewal_result)> done)
+        : done_(std::move(done))
+    {
+    }
+
+    // The peer has answered, with what the worker said or that it said nothing.
+    void on_peer(const renewal_result& result)
+    {
+        on_result(peer_, result, is_unanswered(result));
+    }
+
+    // The peer has not answered, or did not take the call.
+    void on_peer_silent()
+    {
+        on_result(peer_, renewal_result(), false);
+    }
+
+    void on_leader(const renewal_result& result)
+    {
+        on_result(leader_, result, false);
+    }
+
+private:
+    void on_result(std::optional<renewal_result>& own,
+                   const renewal_result& result, bool confirmed)
+    {
+        std::function<void(renewal_result)> done;
+        renewal_result ended = result;
+        {
+            const std::lock_guard<std::mutex> lock(mutex_);
+            own = result;
+            confirmed_ = confirmed_ || confirmed;
+            const bool answered = !is_unanswered(result) &&
+                                  result.outcome != fleet::order_outcome::late;
+            if (!answered && !(peer_ && leader_))
+            {
+                return;
+            }
+            if (!answered)
+            {
+                // Without an answer to the leader the way may be at fault.
+                ended = *leader_;
+                ended.confirmed_unanswered =
+                    confirmed_ && is_unanswered(*leader_);
+            }
+            // Empty if it has ended before.
+            done = std::exchange(done_, nullptr);
+        }
+        if (done)
+        {
+            done(std::move(ended));
+        }
+    }
+
+    std::mutex mutex_;
+    std::function<void(renewal_result)> done_;
+    std::optional<renewal_result> peer_;
+    std::optional<renewal_result> leader_;
+    bool confirmed_ = false;
+};
+
 // For the repetition of a start that a peer may have made: if it is refused,
 // the run of the first start may still exist, have ended, or start later.
 worker_port::start_callback after_first_start(worker_port::start_callback done)
@@ -97,7 +167,19 @@
         const bool near = peer && peers_.at(*peer).zone == worker.zone;
         if (renewal.unresponsive && !near)
         {
-            direct_.renew(worker, renewal, done);
+            // A leader in the worker's zone is itself a daemon near it.
+            direct_.renew(
+                worker, renewal,
+                [own = worker.zone == zone_, done](renewal_result result)
+                {
+                    result.confirmed_unanswered = own && is_unanswered(result);
+                    done(std::move(result));
+                });
+            return;
+        }
+        if (renewal.unresponsive)
+        {
+            renew_over_both(worker, renewal, done);
             return;
         }
         // The peer has waited for an end already, so the direct call does not.
@@ -135,9 +217,10 @@
             [near, unanswered, done](const wire::worker_answer& answer)
             {
                 renewal_result result = renewal_of(answer);
-                if (is_unanswered(result))
+                if (is_unanswered(result) ||
+                    result.outcome == fleet::order_outcome::late)
                 {
-                    *unanswered = near;
+                    *unanswered = near && is_unanswered(result);
                     return false;
                 }
                 done(std::move(result));
@@ -194,6 +277,26 @@
     return made;
 }
 
+// Asks the worker directly and through its peer at the same time; the first
+// answer counts.
+void worker_relay::renew_over_both(const fleet::worker_listing& worker,
+                                   const lease_renewal& renewal,
+                                   const renewal_callback& done)
+{
+    const auto both = std::make_shared<joined_renewal>(done);
+    relay(
+        worker, call_of(renewal), renewal.wait + renewal_slack, renewal.send_by,
+        [both](bool /*repeated*/) { both->on_peer_silent(); },
+        [both](const wire::worker_answer& answer)
+        {
+            both->on_peer(renewal_of(answer));
+            return true;
+        });
+    direct_.renew(worker, renewal,
+                  [both](const renewal_result& result)
+                  { both->on_leader(result); });
+}
+
 void worker_relay::relay_order(const fleet::worker_listing& worker,
                                wire::worker_call call, direct_call direct,
                                worker_port::order_callback done)
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -67,7 +67,8 @@
         worker.restart_seen_at.reset();
     }
     worker.unanswered_after_lease = 0;
-    worker.loss_confirmed = false;
+    worker.confirmed_after_lease = 0;
+    worker.silence_confirmed = false;
     ++worker.reports;
     worker.lease.note_clock(report.clock, now);
     const bool all_read = process_ended(worker, report, now) && report.all_ends;
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -76,7 +76,7 @@
     }
     const auto delay = worker.listed ? options_.listed_loss_delay
                                      : options_.unconfirmed_loss_delay;
-    return worker.loss_confirmed ||
+    return worker.confirmed_after_lease >= options_.max_unanswered_renewals ||
            worker.lease.expired(worker.last_unanswered_at - delay,
                                 leader_since_);
 }
@@ -94,9 +94,9 @@
                 "Runs of a lost worker dropped. worker={} runs={} "
                 "confirmed={} listed={} unanswered={} clock_ms={} "
                 "lease_end_ms={}",
-                it->first.text(), worker.runs.size(), worker.loss_confirmed,
-                worker.listed, worker.unanswered_after_lease,
-                worker.report_clock.count(),
+                it->first.text(), worker.runs.size(),
+                worker.confirmed_after_lease, worker.listed,
+                worker.unanswered_after_lease, worker.report_clock.count(),
                 worker.lease.granted().value_or(worker.report_clock).count());
             drop_all_runs(worker);
         }
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -170,9 +170,10 @@
     if (worker.lease.expired(sent, leader_since_))
     {
         ++worker.unanswered_after_lease;
-        worker.loss_confirmed = worker.loss_confirmed || confirmed;
+        worker.confirmed_after_lease += confirmed ? 1 : 0;
         worker.last_unanswered_at = sent;
     }
+    worker.silence_confirmed = confirmed;
 }
 
 void fleet::on_replaced(const base::worker_id& id)
