Simulate a cell in virtual time

cell_daemon runs with peers that are functions, and its control loop can be run from outside, so that whole cells run in one thread. Models of the store and the workers do what the platform allows; every choice is drawn from a seed.

--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -94,6 +94,15 @@
     add_dependencies(measure_cell coltsfootrack-celld standin-cell)
 endif()
 
+# The simulation of a cell in virtual time; tools/simulate.
+add_library(coltsfootrack-simulation STATIC
+    test/simulation/cell_simulation.cpp test/simulation/store_model.cpp
+    test/simulation/worker_model.cpp test/soak/history_checker.cpp)
+target_include_directories(coltsfootrack-simulation PUBLIC test)
+target_link_libraries(coltsfootrack-simulation PUBLIC coltsfootrack-cell)
+add_executable(simulate-cell test/simulation/main.cpp)
+target_link_libraries(simulate-cell PRIVATE coltsfootrack-simulation)
+
 # The invariants across real processes. tools/check-system runs each test in a
 # process of its own; sanitizers would slow the daemons below their leases.
 file(GLOB system_tests CONFIGURE_DEPENDS test/system/*_test.cpp)
--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -7,6 +7,7 @@
 #include <coltsfootrack/cell/first_nonce.hpp>
 #include <coltsfootrack/cell/leader_election.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
+#include <coltsfootrack/cell/peer_port.hpp>
 #include <coltsfootrack/cell/ports.hpp>
 #include <coltsfootrack/cell/row_committer.hpp>
 #include <coltsfootrack/cell/row_layout.hpp>
@@ -64,6 +65,16 @@
     // if the peer address cannot be used.
     absl::Status start();
 
+    // Starts without threads or sockets, for programs that drive the control
+    // loop themselves: call run_next of loop() until it returns false, again at
+    // each next_due(), and pass what happens at the peers to events().
+    void begin(peer_port peers);
+    wire::peer_events events();
+    daemon::control_loop& loop()
+    {
+        return loop_;
+    }
+
     // The newest known catalogue; null before the first one.
     std::shared_ptr<const fleet::catalogue> catalogue() const;
 
@@ -239,7 +250,9 @@
     base::time_point store_up_since_;
     mutable std::mutex mutex_;
     shared_state shared_;
+    // Set only by start().
     std::unique_ptr<wire::peer_links> links_;
+    peer_port peers_;
     std::thread control_;
 };
 
--- a/include/coltsfootrack/daemon/control_loop.hpp
+++ b/include/coltsfootrack/daemon/control_loop.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <utility>
 
 namespace coltsfootrack::daemon
@@ -58,6 +59,13 @@
     // Runs events until stop is called.
     void run();
 
+    // Runs one due timer, or else one queued event; false if there is neither.
+    // For programs that drive the loop themselves instead of calling run.
+    bool run_next();
+
+    // When run_next has something to run; nullopt if nothing is scheduled.
+    std::optional<base::time_point> next_due() const;
+
     void stop();
 
     // The total time spent in events and timers, for the metrics.
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -42,7 +42,7 @@
     , loop_(clock, max_events)
     , relay_(ports_.workers, options.zone, clock, metrics_,
              [this](const base::daemon_id& peer, const wire::worker_call& call)
-             { return links_->send(peer, call); })
+             { return peers_.send(peer, call); })
     , leader_ports_(ports_)
     , election_(options.daemon, options.incarnation, options.processor_milli,
                 election_options())
@@ -91,6 +91,20 @@
     links.max_incoming = max_peer_connections;
     links.compress = options_.has_thin_link();
     links.max_backoff = std::chrono::milliseconds(800);
+    auto started = wire::peer_links::start(links, clock_, base::system_random(),
+                                           events());
+    if (!started.ok())
+    {
+        return started.status();
+    }
+    links_ = *std::move(started);
+    begin(make_peer_port(*links_));
+    control_ = std::thread([this] { loop_.run(); });
+    return absl::OkStatus();
+}
+
+wire::peer_events cell_daemon::events()
+{
     wire::peer_events events;
     events.on_message =
         [this](const base::daemon_id& peer, const wire::message& value)
@@ -124,13 +138,12 @@
                 catalogue_duty_.on_link_lost(peer);
             });
     };
-    auto started = wire::peer_links::start(links, clock_, base::system_random(),
-                                           std::move(events));
-    if (!started.ok())
-    {
-        return started.status();
-    }
-    links_ = *std::move(started);
+    return events;
+}
+
+void cell_daemon::begin(peer_port peers)
+{
+    peers_ = std::move(peers);
     loop_.post(
         [this]
         {
@@ -153,8 +166,6 @@
                         loop_.post([this] { relay_.expire(); });
                     }
                 });
-    control_ = std::thread([this] { loop_.run(); });
-    return absl::OkStatus();
 }
 
 std::shared_ptr<const fleet::catalogue> cell_daemon::catalogue() const
@@ -315,7 +326,7 @@
     std::map<std::string, byte_counts> totals =
         ports_.traffic ? ports_.traffic()
                        : std::map<std::string, byte_counts>();
-    const wire::peer_traffic peers = links_->traffic();
+    const wire::peer_traffic peers = peers_.traffic();
     for (std::size_t i = 0; i < wire::message_type_count; ++i)
     {
         const auto name = wire::name_of(static_cast<wire::message_type>(i));
@@ -345,7 +356,7 @@
         clock_.now() - store_answered_at_ > options_.isolated_after;
     // Members include this daemon.
     const bool isolated =
-        store_lost && 2 * (links_->connected().size() + 1) <= members_.size();
+        store_lost && 2 * (peers_.connected().size() + 1) <= members_.size();
     if (isolated != isolated_)
     {
         isolated_ = isolated;
--- a/src/cell/cell_daemon_catalogue.cpp
+++ b/src/cell/cell_daemon_catalogue.cpp
@@ -112,7 +112,7 @@
         }
         const wire::catalogue_copy& copy =
             m.accepts_compression ? catalogue_copy_ : plain;
-        const bool sent = links_->send(peer, copy);
+        const bool sent = peers_.send(peer, copy);
         base::log(base::log_level::info, log_part,
                   "Catalogue sent to a peer. peer={} version={} had={} "
                   "bytes={} sent={}",
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -124,7 +124,7 @@
         {
             peers.push_back(address);
         }
-        const absl::Status status = links_->set_peers(peers);
+        const absl::Status status = peers_.set_peers(peers);
         if (!status.ok())
         {
             base::log(base::log_level::error, log_part,
@@ -311,7 +311,7 @@
             status.queues.push_back({queue, static_cast<std::uint32_t>(count)});
         }
     }
-    links_->broadcast(status);
+    peers_.broadcast(status);
 }
 
 void cell_daemon::publish_waiting(const std::map<std::string, int>& counts)
@@ -351,7 +351,7 @@
                                       known ? known->version : 0, near,
                                       follows_catalogue(), clock_.now()))
     {
-        links_->send(peer,
+        peers_.send(peer,
                      wire::catalogue_request{known ? known->version : 0, true});
     }
     const auto& row = election_.row();
@@ -391,7 +391,7 @@
     if (const auto& row = election_.row())
     {
         // Without a connection, the leader learns of it from the store.
-        links_->send(row->daemon, value);
+        peers_.send(row->daemon, value);
     }
 }
 
--- a/src/cell/cell_daemon_queries.cpp
+++ b/src/cell/cell_daemon_queries.cpp
@@ -33,7 +33,7 @@
         const auto& row = election_.row();
         const std::uint64_t nonce = next_nonce_++;
         if (!row || election_.row_names_self() ||
-            !links_->send(row->daemon, wire::state_query{nonce, id}))
+            !peers_.send(row->daemon, wire::state_query{nonce, id}))
         {
             state_from_store(id, done);
             return;
@@ -125,7 +125,7 @@
 {
     const auto state =
         leadership_ ? leadership_->state_of(m.job) : std::nullopt;
-    links_->send(peer, wire::state_answer{
+    peers_.send(peer, wire::state_answer{
                            m.nonce, state ? std::string(jobs::name_of(*state))
                                           : std::string()});
 }
@@ -193,7 +193,7 @@
         }
     };
     pending_ticket_queries_[query.nonce] = {caller, std::move(done)};
-    if (!links_->send(caller, query))
+    if (!peers_.send(caller, query))
     {
         loop_.post([finish, nonce = query.nonce]
                    { finish(nonce, std::nullopt); });
@@ -222,7 +222,7 @@
                            answer.grants.push_back(
                                {grant.worker, std::move(grant.ticket)});
                        }
-                       links_->send(peer, answer);
+                       peers_.send(peer, answer);
                    });
 }
 
--- a/src/cell/cell_daemon_submit.cpp
+++ b/src/cell/cell_daemon_submit.cpp
@@ -154,7 +154,7 @@
 {
     const auto peer = election_.peer_with_store(clock_.now(), next_nonce_);
     const std::uint64_t nonce = next_nonce_++;
-    if (!peer || !links_->send(*peer, wire::relay_request{nonce, id, row}))
+    if (!peer || !peers_.send(*peer, wire::relay_request{nonce, id, row}))
     {
         done(stored_status(uncertain ? write_status::unknown
                                      : write_status::refused));
@@ -207,7 +207,7 @@
             status.ok()
                 ? std::string()
                 : std::string(base::answer_of(base::kind_of(status)).name);
-        links_->send(peer, wire::relay_answer{nonce, error});
+        peers_.send(peer, wire::relay_answer{nonce, error});
     };
     if (m.row.empty())
     {
--- a/src/cell/cell_daemon_workers.cpp
+++ b/src/cell/cell_daemon_workers.cpp
@@ -25,7 +25,7 @@
         metrics_.count_refusal(base::error_kind::overloaded);
         wire::worker_answer refused;
         refused.nonce = m.nonce;
-        links_->send(peer, refused);
+        peers_.send(peer, refused);
         return;
     }
     if (m.send_by && from_peer_time(*m.send_by) < clock_.now())
@@ -34,7 +34,7 @@
         metrics_.count_event("worker_call_expired");
         wire::worker_answer expired;
         expired.nonce = m.nonce;
-        links_->send(peer, expired);
+        peers_.send(peer, expired);
         return;
     }
     ++worker_calls_;
@@ -42,7 +42,7 @@
                       [this, peer](const wire::worker_answer& answer)
                       {
                           --worker_calls_;
-                          if (!links_->send(peer, answer))
+                          if (!peers_.send(peer, answer))
                           {
                               base::log(base::log_level::info, log_part,
                                         "Worker answer not sent to the peer. "
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -110,48 +110,77 @@
     return true;
 }
 
-void control_loop::run()
+bool control_loop::run_next()
 {
-    for (;;)
+    if (run_due_timer())
     {
-        while (run_due_timer())
+        return true;
+    }
+    queued_event next;
+    {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        if (queue_.empty() || stopped_)
         {
+            return false;
         }
-        queued_event next;
+        next = std::move(queue_.front());
+        queue_.pop_front();
+    }
+    const auto start = clock_.now();
+    if (observer_)
+    {
+        observer_(false, start - next.posted);
+    }
+    run_event(next.action);
+    const auto end = clock_.now();
+    const std::lock_guard<std::mutex> lock(mutex_);
+    busy_time_ += end - start;
+    return true;
+}
+
+std::optional<base::time_point> control_loop::next_due() const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    if (!queue_.empty())
+    {
+        return queue_.front().posted;
+    }
+    return timers_.empty()
+               ? std::nullopt
+               : std::optional<base::time_point>(timers_.begin()->first.first);
+}
+
+void control_loop::run()
+{
+    for (;;)
+    {
         {
-            std::unique_lock<std::mutex> lock(mutex_);
+            const std::lock_guard<std::mutex> lock(mutex_);
             if (stopped_)
             {
                 return;
             }
-            if (queue_.empty())
-            {
-                // Wakes at least this often to notice that a test advanced its
-                // manual clock.
-                auto wait = base::duration(std::chrono::milliseconds(100));
-                if (!timers_.empty())
-                {
-                    wait = std::min(wait, timers_.begin()->first.first -
-                                              clock_.now());
-                }
-                if (wait > base::duration(0))
-                {
-                    wake_.wait_for(lock, wait);
-                }
-                continue;
-            }
-            next = std::move(queue_.front());
-            queue_.pop_front();
         }
-        const auto start = clock_.now();
-        if (observer_)
+        if (run_next())
         {
-            observer_(false, start - next.posted);
+            continue;
+        }
+        std::unique_lock<std::mutex> lock(mutex_);
+        if (stopped_ || !queue_.empty())
+        {
+            continue;
+        }
+        // Wakes at least this often to notice that a test advanced its manual
+        // clock.
+        auto wait = base::duration(std::chrono::milliseconds(100));
+        if (!timers_.empty())
+        {
+            wait = std::min(wait, timers_.begin()->first.first - clock_.now());
+        }
+        if (wait > base::duration(0))
+        {
+            wake_.wait_for(lock, wait);
         }
-        run_event(next.action);
-        const auto end = clock_.now();
-        const std::lock_guard<std::mutex> lock(mutex_);
-        busy_time_ += end - start;
     }
 }
 
--- /dev/null
+++ b/test/simulation/cell_simulation.cpp
@@ -0,0 +1,941 @@
+// The simulation of a cell: its daemons, connections, callers and faults.
+
+#include "cell_simulation.hpp"
+
+#include <coltsfootrack/base/error_kind.hpp>
+#include <coltsfootrack/base/log.hpp>
+#include <coltsfootrack/cell/leader_row.hpp>
+
+#include <algorithm>
+#include <fmt/core.h>
+#include <utility>
+
+namespace coltsfootrack::simulation
+{
+namespace
+{
+
+constexpr std::int64_t worker_cpu = 4000;
+constexpr int max_attempts = 3;
+constexpr const char* worker_table = "workers";
+const base::service_id service("s");
+const std::vector<std::string> zones = {"a", "b", "c"};
+
+// As in the adapter of the platform.
+constexpr milliseconds order_timeout{350};
+constexpr milliseconds renewal_slack{500};
+
+// The platform's delays: the interval of a worker's reports, and the silence
+// after which it is off the list.
+constexpr milliseconds report_interval{1500};
+constexpr milliseconds listing_timeout{4500};
+
+// When daemons notice that a peer is silent.
+constexpr milliseconds peer_timeout{1500};
+
+// How long jobs may take after the last fault.
+constexpr std::chrono::seconds finish_limit{60};
+
+// The client tries this often, as the platform's clients do.
+constexpr int client_tries = 5;
+
+} // namespace
+
+cell_simulation::cell_simulation(const simulation_options& options)
+    : options_(options)
+    , time_(options.seed)
+    , store_(time_)
+    , checker_(worker_cpu)
+{
+    base::set_log_writer(
+        [this](base::log_level /*level*/, std::string_view part,
+               std::string_view message)
+        {
+            if (options_.keep_history)
+            {
+                note(fmt::format("{} {}: {}", running_, part, message));
+            }
+        });
+    // Times of zero mean "never" in places.
+    time_.advance_to(base::time_point(std::chrono::seconds(1000)));
+    store_.put({"op", "", "config"}, "1");
+    for (int i = 0; i < options.workers; ++i)
+    {
+        const std::string id = fmt::format("w-{}", i);
+        worker_entry entry;
+        entry.zone = base::zone_id(zones[static_cast<std::size_t>(i) %
+                                         zones.size()]);
+        entry.heard = time_.now();
+        entry.model = std::make_unique<worker_model>(
+            time_, id,
+            [this](const jobs::task_key& /*task*/, std::uint64_t /*run*/)
+            {
+                return task_behaviour{
+                    time_.between(milliseconds(30), milliseconds(1500)),
+                    time_.chance(5)};
+            },
+            [this](const nlohmann::json& event)
+            {
+                if (options_.keep_history)
+                {
+                    note(event.dump());
+                }
+                checker_.apply(nlohmann::json::array({event}));
+            });
+        workers_[id] = std::move(entry);
+    }
+    report_workers();
+    nodes_.resize(static_cast<std::size_t>(options.daemons));
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        const std::string& zone = zones[i % zones.size()];
+        nodes_[i].zone = base::zone_id(zone);
+        nodes_[i].id = base::daemon_id(fmt::format("{}-{}", zone, i));
+        start_node(i);
+    }
+}
+
+cell_simulation::~cell_simulation()
+{
+    base::set_log_writer({});
+}
+
+void cell_simulation::note(const std::string& text)
+{
+    history_.push_back(fmt::format("{:>9.3f} {}",
+                                   static_cast<double>(time_.now_ms()) / 1000 -
+                                       1000,
+                                   text));
+}
+
+// Daemons.
+
+void cell_simulation::start_node(std::size_t index)
+{
+    node& started = nodes_[index];
+    started.incarnation += 1;
+    started.alive = std::make_shared<bool>(true);
+    started.paused = false;
+    started.held.clear();
+    cell::cell_options options;
+    options.daemon = started.id;
+    options.zone = started.zone;
+    options.incarnation = 100 * index + started.incarnation;
+    options.advertised_address = "10.0.0.1";
+    options.advertised_port = static_cast<std::uint16_t>(1000 + index);
+    options.processor_milli = 250;
+    options.job_parts = 2;
+    started.daemon = std::make_unique<cell::cell_daemon>(
+        options, make_ports(index), time_.clock());
+    started.events = started.daemon->events();
+    started.daemon->begin(make_peers(index));
+    for (std::size_t other = 0; other < nodes_.size(); ++other)
+    {
+        if (other != index && nodes_[other].alive)
+        {
+            const auto delay =
+                time_.between(milliseconds(20), milliseconds(200));
+            time_.after(delay, [this, index, other] { connect(index, other); });
+        }
+    }
+    if (options_.keep_history)
+    {
+        note(fmt::format("fault: {} starts", started.id.text()));
+    }
+}
+
+void cell_simulation::kill_node(std::size_t index)
+{
+    node& killed = nodes_[index];
+    if (!killed.alive)
+    {
+        return;
+    }
+    if (options_.keep_history)
+    {
+        note(fmt::format("fault: {} is killed", killed.id.text()));
+    }
+    killed.alive.reset();
+    killed.held.clear();
+    killed.daemon.reset();
+    for (std::size_t other = 0; other < nodes_.size(); ++other)
+    {
+        if (other != index)
+        {
+            disconnect(index, other);
+        }
+    }
+    time_.after(time_.between(milliseconds(300), milliseconds(3000)),
+                [this, index]
+                {
+                    if (!nodes_[index].alive)
+                    {
+                        start_node(index);
+                    }
+                });
+}
+
+void cell_simulation::pause_node(std::size_t index, milliseconds length)
+{
+    node& paused = nodes_[index];
+    if (!paused.alive || paused.paused)
+    {
+        return;
+    }
+    paused.paused = true;
+    if (options_.keep_history)
+    {
+        note(fmt::format("fault: {} is paused for {} ms", paused.id.text(),
+                         length.count()));
+    }
+    const std::weak_ptr<bool> alive = paused.alive;
+    if (length > peer_timeout)
+    {
+        time_.after(peer_timeout,
+                    [this, index, alive]
+                    {
+                        for (std::size_t other = 0;
+                             !alive.expired() && other < nodes_.size(); ++other)
+                        {
+                            if (other != index)
+                            {
+                                disconnect(index, other);
+                            }
+                        }
+                    });
+    }
+    time_.after(length,
+                [this, index, alive]
+                {
+                    if (!alive.expired())
+                    {
+                        resume_node(index);
+                    }
+                });
+}
+
+void cell_simulation::resume_node(std::size_t index)
+{
+    node& resumed = nodes_[index];
+    resumed.paused = false;
+    for (const auto& action : std::exchange(resumed.held, {}))
+    {
+        action();
+    }
+    for (std::size_t other = 0; other < nodes_.size(); ++other)
+    {
+        if (other != index && nodes_[other].alive && !link_of(index, other).up)
+        {
+            time_.after(time_.between(milliseconds(20), milliseconds(400)),
+                        [this, index, other] { connect(index, other); });
+        }
+    }
+}
+
+// Runs something on a daemon's side: now, or when its pause ends.
+void cell_simulation::deliver(std::size_t index, std::function<void()> action)
+{
+    node& to = nodes_[index];
+    if (!to.alive)
+    {
+        return;
+    }
+    if (to.paused)
+    {
+        to.held.push_back(std::move(action));
+        return;
+    }
+    action();
+}
+
+std::optional<std::size_t> cell_simulation::leader() const
+{
+    const auto row = store_.read(cell::row_layout(2).leader());
+    const auto decoded = cell::decode_leader_row(row.value, row.version);
+    for (std::size_t i = 0; row.exists() && decoded.ok() && i < nodes_.size();
+         ++i)
+    {
+        if (nodes_[i].id == decoded->daemon && nodes_[i].alive)
+        {
+            return i;
+        }
+    }
+    return std::nullopt;
+}
+
+cell::ports cell_simulation::make_ports(std::size_t index)
+{
+    const std::weak_ptr<bool> alive = nodes_[index].alive;
+    cell::ports made;
+    made.store = store_.port(nodes_[index].id.text(), alive);
+    made.catalogue.table = "op";
+    made.catalogue.key = "config";
+    made.catalogue.read = [](const std::string& /*document*/)
+    {
+        fleet::catalogue value;
+        value.version = 1;
+        fleet::queue_policy queue;
+        queue.name = "q";
+        queue.host = "h";
+        queue.path_prefix = "/";
+        queue.service = service;
+        queue.max_attempts = max_attempts;
+        queue.open = true;
+        value.queues["q"] = queue;
+        value.services[service].service = service;
+        return absl::StatusOr<fleet::catalogue>(value);
+    };
+    made.workers.list_table = worker_table;
+    made.workers.read_listing =
+        [](const std::string& key, const std::string& value)
+    {
+        fleet::worker_listing listing;
+        listing.worker = base::worker_id(key);
+        listing.address = "10.0.0.2:1";
+        listing.service = service;
+        listing.zone = base::zone_id(value);
+        listing.capacity = {worker_cpu, 100000, 0};
+        listing.labels = {"k", "r"};
+        return absl::StatusOr<fleet::worker_listing>(listing);
+    };
+    made.workers.renew = [this, index](const fleet::worker_listing& worker,
+                                       const cell::lease_renewal& renewal,
+                                       const auto& done)
+    {
+        cell::renewal_result unsent;
+        unsent.outcome = fleet::order_outcome::unhealthy;
+        call_worker<cell::renewal_result>(
+            index, worker, renewal.send_by, false,
+            [renewal](worker_model& to, const auto& answer)
+            { to.renew(renewal, answer); },
+            done, unsent, cell::renewal_result(),
+            renewal.wait + renewal_slack);
+    };
+    made.workers.start =
+        [this, index](const fleet::worker_listing& worker, std::uint64_t epoch,
+                      const fleet::start_order& order, milliseconds lease_end,
+                      base::time_point send_by, const auto& done)
+    {
+        fleet::start_result unsent;
+        unsent.outcome = fleet::order_outcome::late;
+        call_worker<fleet::start_result>(
+            index, worker, send_by, true,
+            [epoch, order, lease_end](worker_model& to, const auto& answer)
+            { answer(to.start(epoch, order, lease_end)); },
+            done, unsent, fleet::start_result(), order_timeout);
+    };
+    made.workers.stop =
+        [this, index](const fleet::worker_listing& worker, std::uint64_t epoch,
+                      const fleet::stop_order& order, const auto& done)
+    {
+        call_worker<fleet::order_outcome>(
+            index, worker, base::time_point::max(), true,
+            [epoch, order](worker_model& to, const auto& answer)
+            { answer(to.stop(epoch, order)); },
+            done, fleet::order_outcome::unhealthy,
+            fleet::order_outcome::unknown, order_timeout);
+    };
+    made.workers.pace =
+        [](const fleet::worker_listing& /*worker*/, std::uint64_t /*epoch*/,
+           const fleet::pace_order& /*order*/, const auto& done)
+    {
+        done(fleet::order_outcome::carried_out);
+    };
+    return made;
+}
+
+// Connections between daemons.
+
+cell_simulation::link& cell_simulation::link_of(std::size_t a, std::size_t b)
+{
+    return links_[std::minmax(a, b)];
+}
+
+void cell_simulation::connect(std::size_t a, std::size_t b)
+{
+    link& made = link_of(a, b);
+    if (made.up || !nodes_[a].alive || !nodes_[b].alive || nodes_[a].paused ||
+        nodes_[b].paused)
+    {
+        return;
+    }
+    made.up = true;
+    ++made.number;
+    for (const auto& [to, from] : {std::pair(a, b), std::pair(b, a)})
+    {
+        deliver(to,
+                [this, to = to, from = from]
+                {
+                    nodes_[to].events.on_up({nodes_[from].id,
+                                             nodes_[from].incarnation,
+                                             nodes_[from].zone, true});
+                });
+    }
+}
+
+void cell_simulation::disconnect(std::size_t a, std::size_t b)
+{
+    link& lost = link_of(a, b);
+    if (!lost.up)
+    {
+        return;
+    }
+    lost.up = false;
+    for (const auto& [to, from] : {std::pair(a, b), std::pair(b, a)})
+    {
+        deliver(to, [this, to = to, from = from]
+                { nodes_[to].events.on_down(nodes_[from].id); });
+    }
+    time_.after(time_.between(milliseconds(100), milliseconds(900)),
+                [this, a, b] { connect(a, b); });
+}
+
+bool cell_simulation::send(std::size_t from, std::size_t to,
+                           const wire::message& value)
+{
+    link& used = link_of(from, to);
+    if (!used.up)
+    {
+        return false;
+    }
+    base::time_point& busy = used.busy[from < to ? 0 : 1];
+    busy = std::max(busy, time_.now() + time_.between(milliseconds(1),
+                                                      milliseconds(14)) +
+                              used.extra_delay);
+    time_.after(busy - time_.now(),
+                [this, from, to, value, number = used.number]
+                {
+                    const link& current = link_of(from, to);
+                    if (current.number != number || !current.up)
+                    {
+                        return;
+                    }
+                    deliver(to, [this, from, to, value]
+                            { nodes_[to].events.on_message(nodes_[from].id,
+                                                           value); });
+                });
+    return true;
+}
+
+cell::peer_port cell_simulation::make_peers(std::size_t index)
+{
+    cell::peer_port made;
+    made.set_peers = [](const std::vector<wire::peer_address>& /*peers*/)
+    {
+        return absl::OkStatus();
+    };
+    made.send = [this, index](const base::daemon_id& peer,
+                              const wire::message& value)
+    {
+        for (std::size_t to = 0; to < nodes_.size(); ++to)
+        {
+            if (nodes_[to].id == peer)
+            {
+                return to != index && send(index, to, value);
+            }
+        }
+        return false;
+    };
+    made.broadcast = [this, index](const wire::message& value)
+    {
+        std::size_t count = 0;
+        for (std::size_t to = 0; to < nodes_.size(); ++to)
+        {
+            count += to != index && send(index, to, value) ? 1 : 0;
+        }
+        return count;
+    };
+    made.connected = [this, index]
+    {
+        std::vector<base::daemon_id> found;
+        for (std::size_t to = 0; to < nodes_.size(); ++to)
+        {
+            if (to != index && link_of(index, to).up)
+            {
+                found.push_back(nodes_[to].id);
+            }
+        }
+        return found;
+    };
+    made.traffic = []
+    {
+        return wire::peer_traffic();
+    };
+    return made;
+}
+
+// Workers.
+
+bool cell_simulation::reaches(std::size_t from,
+                              const worker_entry& worker) const
+{
+    return worker.cut_from != "*" &&
+           worker.cut_from != nodes_[from].zone.text();
+}
+
+template <class Result>
+void cell_simulation::call_worker(
+    std::size_t from, const fleet::worker_listing& worker,
+    base::time_point send_by, bool is_order,
+    std::function<void(worker_model&, std::function<void(Result)>)> execute,
+    std::function<void(Result)> done, Result unsent, Result unanswered,
+    milliseconds timeout)
+{
+    const std::weak_ptr<bool> alive = nodes_[from].alive;
+    const auto finished = std::make_shared<bool>(false);
+    // Answers arrive at the caller unless it has ended or has timed out.
+    const auto finish = [this, from, alive, finished, done](Result result)
+    {
+        if (alive.expired())
+        {
+            return;
+        }
+        deliver(from,
+                [finished, done, result = std::move(result)]
+                {
+                    if (!std::exchange(*finished, true))
+                    {
+                        done(result);
+                    }
+                });
+    };
+    const bool late = is_order && time_.chance(late_orders_percent_);
+    const bool lost = late || time_.chance(lost_answers_percent_);
+    const milliseconds way = time_.between(milliseconds(1), milliseconds(13));
+    const milliseconds back = time_.between(milliseconds(1), milliseconds(13));
+    const milliseconds late_by =
+        late ? time_.between(milliseconds(2000), milliseconds(12000))
+             : milliseconds(0);
+    const std::string id = worker.worker.text();
+    const auto arrive = [this, id, execute, finish, unsent, lost, back]
+    {
+        worker_model& to = *workers_.at(id).model;
+        if (!to.up())
+        {
+            finish(unsent);
+            return;
+        }
+        execute(to,
+                [this, finish, lost, back](Result result)
+                {
+                    if (!lost)
+                    {
+                        time_.after(back, [finish, result] { finish(result); });
+                    }
+                });
+    };
+    // The thread of the caller's HTTP client sends it, unless paused.
+    time_.after(
+        time_.between(milliseconds(0), milliseconds(2)),
+        [this, from, alive, send_by, finish, unsent, unanswered, timeout, id,
+         way, late, late_by, arrive]
+        {
+            if (alive.expired())
+            {
+                return;
+            }
+            deliver(
+                from,
+                [this, from, send_by, finish, unsent, unanswered, timeout, id,
+                 way, late, late_by, arrive]
+                {
+                    if (time_.now() > send_by)
+                    {
+                        finish(unsent);
+                        return;
+                    }
+                    time_.after(timeout,
+                                [finish, unanswered] { finish(unanswered); });
+                    const worker_entry& to = workers_.at(id);
+                    if (!reaches(from, to))
+                    {
+                        return;
+                    }
+                    if (!late)
+                    {
+                        time_.after(way, arrive);
+                        return;
+                    }
+                    // What a worker has taken and carries out late is lost with
+                    // its life.
+                    time_.after(late_by,
+                                [this, id, arrive, life = to.model->life()]
+                                {
+                                    if (workers_.at(id).model->life() == life)
+                                    {
+                                        arrive();
+                                    }
+                                });
+                });
+        });
+}
+
+// The platform's list: a worker reports itself, and is removed after a silence.
+void cell_simulation::report_workers()
+{
+    for (auto& [id, worker] : workers_)
+    {
+        const cell::row_id row{worker_table, "", id};
+        if (worker.model->up() && !worker.cut_from_store)
+        {
+            worker.heard = time_.now();
+        }
+        const bool listed = time_.now() - worker.heard < listing_timeout;
+        if (listed && !worker.listed)
+        {
+            store_.put(row, worker.zone.text());
+        }
+        else if (!listed && worker.listed)
+        {
+            store_.remove(row);
+        }
+        worker.listed = listed;
+    }
+    time_.after(report_interval, [this] { report_workers(); });
+}
+
+// Callers.
+
+std::size_t cell_simulation::any_running_node()
+{
+    std::vector<std::size_t> running;
+    for (std::size_t i = 0; i < nodes_.size(); ++i)
+    {
+        if (nodes_[i].alive && !nodes_[i].paused)
+        {
+            running.push_back(i);
+        }
+    }
+    return running.empty()
+               ? nodes_.size()
+               : running[static_cast<std::size_t>(time_.between(
+                     0, static_cast<std::int64_t>(running.size()) - 1))];
+}
+
+void cell_simulation::submit_job()
+{
+    if (faults_over_)
+    {
+        return;
+    }
+    const std::string id = fmt::format("job-{}", next_job_++);
+    caller_job& job = jobs_[id];
+    job.submission.queue = "q";
+    job.submission.submitted = time_.clock().wall();
+    job.submission.spec.payload = "payload of " + id;
+    soak::submitted_job& expected = checker_.job(id);
+    expected.payload = job.submission.spec.payload;
+    expected.max_attempts = max_attempts;
+    const int steps = static_cast<int>(time_.between(1, 2));
+    for (int i = 0; i < steps; ++i)
+    {
+        jobs::step_spec step;
+        step.tasks = static_cast<int>(time_.between(1, 4));
+        step.need = {500 * time_.between(1, 3), 100, 0};
+        step.estimate = milliseconds(500);
+        if (i > 0)
+        {
+            step.after = {i - 1};
+        }
+        expected.steps.push_back({step.tasks, step.need.cpu_milli, step.after});
+        job.submission.spec.steps.push_back(step);
+    }
+    submit(id);
+    if (time_.chance(5))
+    {
+        time_.after(time_.between(milliseconds(100), milliseconds(2000)),
+                    [this, id] { cancel(id); });
+    }
+    time_.after(time_.between(milliseconds(20), milliseconds(250)),
+                [this] { submit_job(); });
+}
+
+void cell_simulation::submit(const std::string& id)
+{
+    caller_job& job = jobs_.at(id);
+    const std::size_t to = any_running_node();
+    if (++job.tries > client_tries)
+    {
+        return;
+    }
+    const auto retry = [this, id]
+    {
+        time_.after(time_.between(milliseconds(100), milliseconds(900)),
+                    [this, id] { submit(id); });
+    };
+    if (to == nodes_.size())
+    {
+        retry();
+        return;
+    }
+    // Without a definite answer the job may run.
+    ++job.uncertain;
+    checker_.job(id).all_refused = false;
+    nodes_[to].daemon->submit(
+        base::job_id(id), job.submission,
+        [this, id, retry](const absl::Status& status)
+        {
+            caller_job& answered = jobs_.at(id);
+            soak::submitted_job& expected = checker_.job(id);
+            if (status.ok())
+            {
+                expected.accepted = true;
+                return;
+            }
+            if (base::kind_of(status) != base::error_kind::outcome_unknown)
+            {
+                --answered.uncertain;
+                expected.all_refused = answered.uncertain == 0;
+            }
+            retry();
+        });
+}
+
+void cell_simulation::cancel(const std::string& id)
+{
+    const std::size_t to = any_running_node();
+    if (to == nodes_.size())
+    {
+        return;
+    }
+    checker_.job(id).cancelled = true;
+    nodes_[to].daemon->cancel(base::job_id(id),
+                              [](const absl::Status& /*status*/) {});
+}
+
+// Faults.
+
+std::size_t cell_simulation::pick_node()
+{
+    const auto led = leader();
+    if (led && time_.chance(50))
+    {
+        return *led;
+    }
+    return static_cast<std::size_t>(
+        time_.between(0, static_cast<std::int64_t>(nodes_.size()) - 1));
+}
+
+void cell_simulation::inject_fault()
+{
+    if (faults_over_)
+    {
+        return;
+    }
+    const std::size_t index = pick_node();
+    auto worker = workers_.begin();
+    std::advance(worker,
+                 time_.between(0, static_cast<std::int64_t>(workers_.size()) -
+                                      1));
+    const std::string id = worker->first;
+    const milliseconds length =
+        time_.between(milliseconds(200), milliseconds(6000));
+    const auto kind = time_.between(0, 13);
+    if (options_.keep_history)
+    {
+        note(fmt::format("fault: kind={} daemon={} worker={} ms={}", kind,
+                         nodes_[index].id.text(), id, length.count()));
+    }
+    switch (kind)
+    {
+    case 0:
+    case 1:
+        pause_node(index, length);
+        break;
+    case 2:
+        kill_node(index);
+        break;
+    case 3:
+        if (nodes_[index].alive && !nodes_[index].paused)
+        {
+            nodes_[index].daemon->hand_over();
+            time_.after(milliseconds(1000),
+                        [this, index, alive = std::weak_ptr<bool>(
+                                          nodes_[index].alive)]
+                        {
+                            if (!alive.expired())
+                            {
+                                kill_node(index);
+                            }
+                        });
+        }
+        break;
+    case 4:
+    {
+        const std::size_t other = pick_node();
+        if (other != index)
+        {
+            disconnect(index, other);
+        }
+        break;
+    }
+    case 5:
+        // All links of a daemon are slow, as if they were full.
+        for (std::size_t other = 0; other < nodes_.size(); ++other)
+        {
+            if (other != index)
+            {
+                link_of(index, other).extra_delay = length / 4;
+                time_.after(length, [this, index, other]
+                            { link_of(index, other).extra_delay =
+                                  milliseconds(0); });
+            }
+        }
+        break;
+    case 6:
+    case 7:
+        // Restarts under its id between two messages.
+        worker->second.model->restart();
+        break;
+    case 8:
+        worker->second.model->crash();
+        time_.after(length, [this, id]
+                    { workers_.at(id).model->restart(); });
+        break;
+    case 9:
+        worker->second.cut_from =
+            time_.chance(50) ? "*" : nodes_[index].zone.text();
+        worker->second.cut_from_store = time_.chance(50);
+        time_.after(2 * length,
+                    [this, id]
+                    {
+                        workers_.at(id).cut_from.clear();
+                        workers_.at(id).cut_from_store = false;
+                    });
+        break;
+    case 10:
+        store_.lost_percent = 30;
+        store_.late_percent = 50;
+        time_.after(length, [this] { store_.lost_percent = 0; });
+        break;
+    case 11:
+        store_.refused.insert(nodes_[index].id.text());
+        time_.after(length, [this, index]
+                    { store_.refused.erase(nodes_[index].id.text()); });
+        break;
+    case 12:
+        late_orders_percent_ = 30;
+        time_.after(length, [this] { late_orders_percent_ = 0; });
+        break;
+    default:
+        lost_answers_percent_ = 30;
+        time_.after(length, [this] { lost_answers_percent_ = 0; });
+        break;
+    }
+    time_.after(time_.between(milliseconds(50), milliseconds(1500)),
+                [this] { inject_fault(); });
+}
+
+void cell_simulation::end_faults()
+{
+    faults_over_ = true;
+    store_.lost_percent = 0;
+    store_.refused.clear();
+    late_orders_percent_ = 0;
+    lost_answers_percent_ = 0;
+    for (auto& [id, worker] : workers_)
+    {
+        worker.cut_from.clear();
+        worker.cut_from_store = false;
+    }
+}
+
+// The run.
+
+bool cell_simulation::run_due()
+{
+    bool any = false;
+    while (time_.run_next())
+    {
+        any = true;
+    }
+    for (node& each : nodes_)
+    {
+        if (!each.alive || each.paused)
+        {
+            continue;
+        }
+        running_ = each.id.text();
+        while (each.daemon->loop().run_next())
+        {
+            any = true;
+        }
+        running_.clear();
+    }
+    return any;
+}
+
+std::optional<base::time_point> cell_simulation::next_due() const
+{
+    std::optional<base::time_point> next = time_.next_due();
+    for (const node& each : nodes_)
+    {
+        if (!each.alive || each.paused)
+        {
+            continue;
+        }
+        const auto due = each.daemon->loop().next_due();
+        if (due && (!next || *due < *next))
+        {
+            next = due;
+        }
+    }
+    return next;
+}
+
+void cell_simulation::run_until(base::time_point end)
+{
+    for (;;)
+    {
+        while (run_due())
+        {
+        }
+        const auto next = next_due();
+        if (!next || *next > end)
+        {
+            time_.advance_to(end);
+            return;
+        }
+        time_.advance_to(*next);
+    }
+}
+
+bool cell_simulation::all_jobs_finished() const
+{
+    return std::all_of(checker_.jobs().begin(), checker_.jobs().end(),
+                       [this](const auto& entry)
+                       {
+                           const auto& [id, job] = entry;
+                           return !job.accepted || job.cancelled ||
+                                  checker_.done(id) ||
+                                  checker_.attempts_exhausted(id);
+                       });
+}
+
+void cell_simulation::run()
+{
+    time_.after(milliseconds(1500), [this] { submit_job(); });
+    time_.after(milliseconds(2500), [this] { inject_fault(); });
+    run_until(time_.now() + options_.length);
+    end_faults();
+    const base::time_point limit = time_.now() + finish_limit;
+    while (!all_jobs_finished() && time_.now() < limit)
+    {
+        run_until(time_.now() + milliseconds(200));
+    }
+    checker_.finish();
+    violations_ = checker_.violations();
+    if (!all_jobs_finished())
+    {
+        for (const auto& [id, job] : checker_.jobs())
+        {
+            if (job.accepted && !job.cancelled && !checker_.done(id) &&
+                !checker_.attempts_exhausted(id))
+            {
+                violations_.push_back("accepted job did not end: " + id);
+            }
+        }
+    }
+}
+
+} // namespace coltsfootrack::simulation
--- /dev/null
+++ b/test/simulation/cell_simulation.hpp
@@ -0,0 +1,181 @@
+#ifndef COLTSFOOTRACK_TEST_SIMULATION_CELL_SIMULATION_HPP_INCLUDED
+#define COLTSFOOTRACK_TEST_SIMULATION_CELL_SIMULATION_HPP_INCLUDED
+
+#include "simulation/store_model.hpp"
+#include "simulation/virtual_time.hpp"
+#include "simulation/worker_model.hpp"
+#include "soak/history_checker.hpp"
+
+#include <coltsfootrack/cell/cell_daemon.hpp>
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace coltsfootrack::simulation
+{
+
+struct simulation_options
+{
+    std::uint64_t seed = 1;
+    int daemons = 5;
+    int workers = 8;
+    // How long faults are injected and jobs submitted.
+    std::chrono::seconds length{30};
+    // Whether what happens is kept as text.
+    bool keep_history = false;
+};
+
+// A cell of daemons, a store, workers and callers in one thread and in virtual
+// time. Every choice is drawn from the seed, so the same seed gives the same
+// history.
+//
+// The daemons are cell_daemon objects, whose control loops are run here. A
+// paused daemon runs nothing, and what arrives for it waits; a pause between
+// two statements of one event is not modelled.
+class cell_simulation
+{
+public:
+    explicit cell_simulation(const simulation_options& options);
+    ~cell_simulation();
+
+    cell_simulation(const cell_simulation&) = delete;
+    cell_simulation& operator=(const cell_simulation&) = delete;
+
+    // Runs the simulation to its end.
+    void run();
+
+    // The broken rules.
+    const std::vector<std::string>& violations() const
+    {
+        return violations_;
+    }
+
+    // One line for each event, if it was asked for.
+    const std::vector<std::string>& history() const
+    {
+        return history_;
+    }
+
+    std::uint64_t starts() const
+    {
+        return checker_.starts();
+    }
+
+private:
+    // One daemon, over its lives.
+    struct node
+    {
+        base::daemon_id id;
+        base::zone_id zone;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<cell::cell_daemon> daemon;
+        // Expires with the daemon; the ports check it.
+        std::shared_ptr<bool> alive;
+        wire::peer_events events;
+        bool paused = false;
+        // What arrives during a pause.
+        std::deque<std::function<void()>> held;
+    };
+
+    // The connection of two daemons, in both directions.
+    struct link
+    {
+        bool up = false;
+        // Differs for each connection; messages of a former one are lost.
+        std::uint64_t number = 0;
+        milliseconds extra_delay{0};
+        // When the last message in each direction arrives.
+        base::time_point busy[2];
+    };
+
+    using link_key = std::pair<std::size_t, std::size_t>;
+
+    // A worker, and the platform's entry for it.
+    struct worker_entry
+    {
+        std::unique_ptr<worker_model> model;
+        base::zone_id zone;
+        base::time_point heard;
+        bool listed = false;
+        // Not reached by the daemons of this zone, or of all if it is "*".
+        std::string cut_from;
+        bool cut_from_store = false;
+    };
+
+    struct caller_job
+    {
+        jobs::job_submission submission;
+        int tries = 0;
+        int uncertain = 0;
+    };
+
+    // Daemons.
+    void start_node(std::size_t index);
+    void kill_node(std::size_t index);
+    void pause_node(std::size_t index, milliseconds length);
+    void resume_node(std::size_t index);
+    void deliver(std::size_t index, std::function<void()> action);
+    cell::ports make_ports(std::size_t index);
+    cell::peer_port make_peers(std::size_t index);
+    std::optional<std::size_t> leader() const;
+
+    // Connections between daemons.
+    link& link_of(std::size_t a, std::size_t b);
+    void connect(std::size_t a, std::size_t b);
+    void disconnect(std::size_t a, std::size_t b);
+    bool send(std::size_t from, std::size_t to, const wire::message& value);
+
+    // Workers.
+    template <class Result>
+    void call_worker(std::size_t from, const fleet::worker_listing& worker,
+                     base::time_point send_by, bool is_order,
+                     std::function<void(worker_model&,
+                                        std::function<void(Result)>)>
+                         execute,
+                     std::function<void(Result)> done, Result unsent,
+                     Result unanswered, milliseconds timeout);
+    bool reaches(std::size_t from, const worker_entry& worker) const;
+    void report_workers();
+
+    // Callers.
+    void submit_job();
+    void submit(const std::string& id);
+    void cancel(const std::string& id);
+    std::size_t any_running_node();
+
+    // Faults.
+    void inject_fault();
+    void end_faults();
+    std::size_t pick_node();
+
+    void run_until(base::time_point end);
+    bool run_due();
+    std::optional<base::time_point> next_due() const;
+    bool all_jobs_finished() const;
+    void note(const std::string& text);
+
+    simulation_options options_;
+    virtual_time time_;
+    store_model store_;
+    std::vector<node> nodes_;
+    std::map<link_key, link> links_;
+    std::map<std::string, worker_entry> workers_;
+    std::map<std::string, caller_job> jobs_;
+    soak::history_checker checker_;
+    int next_job_ = 0;
+    bool faults_over_ = false;
+    // Percentages of the calls to workers, while such a fault lasts.
+    int late_orders_percent_ = 0;
+    int lost_answers_percent_ = 0;
+    // The daemon whose events run, for the history.
+    std::string running_;
+    std::vector<std::string> violations_;
+    std::vector<std::string> history_;
+};
+
+} // namespace coltsfootrack::simulation
+
+#endif
--- /dev/null
+++ b/test/simulation/main.cpp
@@ -0,0 +1,78 @@
+// Simulates a cell with each seed of a range, and prints the rules that broke.
+//
+//     simulate-cell FIRST LAST [DAEMONS] [WORKERS] [SECONDS]
+//     simulate-cell --replay SEED [DAEMONS] [WORKERS] [SECONDS]
+//
+// The second form prints the history of one seed. The last line is "N passed, N
+// failed".
+
+#include "cell_simulation.hpp"
+
+#include <chrono>
+#include <cstdlib>
+#include <fmt/core.h>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+using coltsfootrack::simulation::cell_simulation;
+using coltsfootrack::simulation::simulation_options;
+
+int argument(const std::vector<std::string>& words, std::size_t index,
+             int fallback)
+{
+    return index < words.size() ? std::stoi(words[index]) : fallback;
+}
+
+int simulate(const std::vector<std::string>& words)
+{
+    const bool replay = words.at(0) == "--replay";
+    const std::uint64_t first = std::stoull(words.at(replay ? 1 : 0));
+    const std::uint64_t last = replay ? first : std::stoull(words.at(1));
+    simulation_options options;
+    options.daemons = argument(words, 2, options.daemons);
+    options.workers = argument(words, 3, options.workers);
+    options.length = std::chrono::seconds(argument(words, 4, 30));
+    options.keep_history = replay;
+    int passed = 0;
+    int failed = 0;
+    for (options.seed = first; options.seed <= last; ++options.seed)
+    {
+        cell_simulation tested(options);
+        tested.run();
+        for (const std::string& line : tested.history())
+        {
+            fmt::print("{}\n", line);
+        }
+        for (const std::string& rule : tested.violations())
+        {
+            fmt::print("seed {}: {}\n", options.seed, rule);
+        }
+        const bool holds = tested.violations().empty();
+        passed += holds ? 1 : 0;
+        failed += holds ? 0 : 1;
+    }
+    fmt::print("{} passed, {} failed\n", passed, failed);
+    return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+} // namespace
+
+int main(int count, char** words)
+{
+    try
+    {
+        return simulate({words + 1, words + count});
+    }
+    catch (const std::logic_error&)
+    {
+        fmt::print(stderr, "usage: simulate-cell FIRST LAST [DAEMONS] [WORKERS] "
+                           "[SECONDS]\n"
+                           "       simulate-cell --replay SEED [DAEMONS] "
+                           "[WORKERS] [SECONDS]\n");
+        return EXIT_FAILURE;
+    }
+}
