--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -551,7 +551,7 @@
                     {
                         return;
                     }
-                    if (!late)
+                    if (!late || !to.model->up())
                     {
                         time_.after(way, arrive);
                         return;
--- a/test/simulation/worker_model.cpp
+++ b/test/simulation/worker_model.cpp
@@ -149,12 +149,12 @@
         result.outcome = fleet::order_outcome::old_run;
         return result;
     }
-    lease_end_ = std::max(lease_end_, lease_end);
-    if (lease_end_ <= clock())
+    if (lease_end <= clock())
     {
         result.outcome = fleet::order_outcome::late;
         return result;
     }
+    lease_end_ = std::max(lease_end_, lease_end);
     active_run& added = runs_[order.task];
     added.run = order.run;
     added.number = next_number_++;
