--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -102,6 +102,9 @@
 target_link_libraries(coltsfootrack-simulation PUBLIC coltsfootrack-cell)
 add_executable(simulate-cell test/simulation/main.cpp)
 target_link_libraries(simulate-cell PRIVATE coltsfootrack-simulation)
+add_executable(test-simulation test/simulation/simulation_test.cpp)
+target_link_libraries(test-simulation PRIVATE
+    coltsfootrack-test-main coltsfootrack-simulation)
 
 # The invariants across real processes. tools/check-system runs each test in a
 # process of its own; sanitizers would slow the daemons below their leases.
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -91,8 +91,8 @@
     links.max_incoming = max_peer_connections;
     links.compress = options_.has_thin_link();
     links.max_backoff = std::chrono::milliseconds(800);
-    auto started = wire::peer_links::start(links, clock_, base::system_random(),
-                                           events());
+    auto started =
+        wire::peer_links::start(links, clock_, base::system_random(), events());
     if (!started.ok())
     {
         return started.status();
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -352,7 +352,7 @@
                                       follows_catalogue(), clock_.now()))
     {
         peers_.send(peer,
-                     wire::catalogue_request{known ? known->version : 0, true});
+                    wire::catalogue_request{known ? known->version : 0, true});
     }
     const auto& row = election_.row();
     const auto counts = queue_counts_of(m);
--- a/src/cell/cell_daemon_queries.cpp
+++ b/src/cell/cell_daemon_queries.cpp
@@ -126,8 +126,8 @@
     const auto state =
         leadership_ ? leadership_->state_of(m.job) : std::nullopt;
     peers_.send(peer, wire::state_answer{
-                           m.nonce, state ? std::string(jobs::name_of(*state))
-                                          : std::string()});
+                          m.nonce, state ? std::string(jobs::name_of(*state))
+                                         : std::string()});
 }
 
 void cell_daemon::handle(const base::daemon_id& /*peer*/,
--- a/src/cell/peer_port.cpp
+++ b/src/cell/peer_port.cpp
@@ -11,8 +11,8 @@
     {
         return links.set_peers(peers);
     };
-    port.send = [&links](const base::daemon_id& peer,
-                         const wire::message& value)
+    port.send =
+        [&links](const base::daemon_id& peer, const wire::message& value)
     {
         return links.send(peer, value);
     };
--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -63,8 +63,8 @@
     {
         const std::string id = fmt::format("w-{}", i);
         worker_entry entry;
-        entry.zone = base::zone_id(zones[static_cast<std::size_t>(i) %
-                                         zones.size()]);
+        entry.zone =
+            base::zone_id(zones[static_cast<std::size_t>(i) % zones.size()]);
         entry.heard = time_.now();
         entry.model = std::make_unique<worker_model>(
             time_, id,
@@ -102,10 +102,9 @@
 
 void cell_simulation::note(const std::string& text)
 {
-    history_.push_back(fmt::format("{:>9.3f} {}",
-                                   static_cast<double>(time_.now_ms()) / 1000 -
-                                       1000,
-                                   text));
+    history_.push_back(
+        fmt::format("{:>9.3f} {}",
+                    static_cast<double>(time_.now_ms()) / 1000 - 1000, text));
 }
 
 // Daemons.
@@ -308,8 +307,7 @@
             index, worker, renewal.send_by, false,
             [renewal](worker_model& to, const auto& answer)
             { to.renew(renewal, answer); },
-            done, unsent, cell::renewal_result(),
-            renewal.wait + renewal_slack);
+            done, unsent, cell::renewal_result(), renewal.wait + renewal_slack);
     };
     made.workers.start =
         [this, index](const fleet::worker_listing& worker, std::uint64_t epoch,
@@ -335,9 +333,9 @@
             done, fleet::order_outcome::unhealthy,
             fleet::order_outcome::unknown, order_timeout);
     };
-    made.workers.pace =
-        [](const fleet::worker_listing& /*worker*/, std::uint64_t /*epoch*/,
-           const fleet::pace_order& /*order*/, const auto& done)
+    made.workers.pace = [](const fleet::worker_listing& /*worker*/,
+                           std::uint64_t /*epoch*/,
+                           const fleet::pace_order& /*order*/, const auto& done)
     {
         done(fleet::order_outcome::carried_out);
     };
@@ -399,21 +397,21 @@
         return false;
     }
     base::time_point& busy = used.busy[from < to ? 0 : 1];
-    busy = std::max(busy, time_.now() + time_.between(milliseconds(1),
-                                                      milliseconds(14)) +
+    busy = std::max(busy, time_.now() +
+                              time_.between(milliseconds(1), milliseconds(14)) +
                               used.extra_delay);
-    time_.after(busy - time_.now(),
-                [this, from, to, value, number = used.number]
-                {
-                    const link& current = link_of(from, to);
-                    if (current.number != number || !current.up)
-                    {
-                        return;
-                    }
-                    deliver(to, [this, from, to, value]
-                            { nodes_[to].events.on_message(nodes_[from].id,
-                                                           value); });
-                });
+    time_.after(
+        busy - time_.now(),
+        [this, from, to, value, number = used.number]
+        {
+            const link& current = link_of(from, to);
+            if (current.number != number || !current.up)
+            {
+                return;
+            }
+            deliver(to, [this, from, to, value]
+                    { nodes_[to].events.on_message(nodes_[from].id, value); });
+        });
     return true;
 }
 
@@ -424,8 +422,8 @@
     {
         return absl::OkStatus();
     };
-    made.send = [this, index](const base::daemon_id& peer,
-                              const wire::message& value)
+    made.send =
+        [this, index](const base::daemon_id& peer, const wire::message& value)
     {
         for (std::size_t to = 0; to < nodes_.size(); ++to)
         {
@@ -525,49 +523,49 @@
                 });
     };
     // The thread of the caller's HTTP client sends it, unless paused.
-    time_.after(
-        time_.between(milliseconds(0), milliseconds(2)),
-        [this, from, alive, send_by, finish, unsent, unanswered, timeout, id,
-         way, late, late_by, arrive]
-        {
-            if (alive.expired())
-            {
-                return;
-            }
-            deliver(
-                from,
-                [this, from, send_by, finish, unsent, unanswered, timeout, id,
-                 way, late, late_by, arrive]
+    time_.after(time_.between(milliseconds(0), milliseconds(2)),
+                [this, from, alive, send_by, finish, unsent, unanswered,
+                 timeout, id, way, late, late_by, arrive]
                 {
-                    if (time_.now() > send_by)
-                    {
-                        finish(unsent);
-                        return;
-                    }
-                    time_.after(timeout,
-                                [finish, unanswered] { finish(unanswered); });
-                    const worker_entry& to = workers_.at(id);
-                    if (!reaches(from, to))
-                    {
-                        return;
-                    }
-                    if (!late || !to.model->up())
+                    if (alive.expired())
                     {
-                        time_.after(way, arrive);
                         return;
                     }
-                    // What a worker has taken and carries out late is lost with
-                    // its life.
-                    time_.after(late_by,
-                                [this, id, arrive, life = to.model->life()]
+                    deliver(from,
+                            [this, from, send_by, finish, unsent, unanswered,
+                             timeout, id, way, late, late_by, arrive]
+                            {
+                                if (time_.now() > send_by)
+                                {
+                                    finish(unsent);
+                                    return;
+                                }
+                                time_.after(timeout, [finish, unanswered]
+                                            { finish(unanswered); });
+                                const worker_entry& to = workers_.at(id);
+                                if (!reaches(from, to))
                                 {
-                                    if (workers_.at(id).model->life() == life)
+                                    return;
+                                }
+                                if (!late || !to.model->up())
+                                {
+                                    time_.after(way, arrive);
+                                    return;
+                                }
+                                // What a worker has taken and carries out late
+                                // is lost with its life.
+                                time_.after(
+                                    late_by,
+                                    [this, id, arrive, life = to.model->life()]
                                     {
-                                        arrive();
-                                    }
-                                });
+                                        if (workers_.at(id).model->life() ==
+                                            life)
+                                        {
+                                            arrive();
+                                        }
+                                    });
+                            });
                 });
-        });
 }
 
 // The platform's list: a worker reports itself, and is removed after a silence.
@@ -724,9 +722,9 @@
     }
     const std::size_t index = pick_node();
     auto worker = workers_.begin();
-    std::advance(worker,
-                 time_.between(0, static_cast<std::int64_t>(workers_.size()) -
-                                      1));
+    std::advance(
+        worker,
+        time_.between(0, static_cast<std::int64_t>(workers_.size()) - 1));
     const std::string id = worker->first;
     const milliseconds length =
         time_.between(milliseconds(200), milliseconds(6000));
@@ -749,15 +747,15 @@
         if (nodes_[index].alive && !nodes_[index].paused)
         {
             nodes_[index].daemon->hand_over();
-            time_.after(milliseconds(1000),
-                        [this, index, alive = std::weak_ptr<bool>(
-                                          nodes_[index].alive)]
-                        {
-                            if (!alive.expired())
-                            {
-                                kill_node(index);
-                            }
-                        });
+            time_.after(
+                milliseconds(1000),
+                [this, index, alive = std::weak_ptr<bool>(nodes_[index].alive)]
+                {
+                    if (!alive.expired())
+                    {
+                        kill_node(index);
+                    }
+                });
         }
         break;
     case 4:
@@ -776,9 +774,9 @@
             if (other != index)
             {
                 link_of(index, other).extra_delay = length / 4;
-                time_.after(length, [this, index, other]
-                            { link_of(index, other).extra_delay =
-                                  milliseconds(0); });
+                time_.after(
+                    length, [this, index, other]
+                    { link_of(index, other).extra_delay = milliseconds(0); });
             }
         }
         break;
@@ -789,8 +787,7 @@
         break;
     case 8:
         worker->second.model->crash();
-        time_.after(length, [this, id]
-                    { workers_.at(id).model->restart(); });
+        time_.after(length, [this, id] { workers_.at(id).model->restart(); });
         break;
     case 9:
         worker->second.cut_from =
--- a/test/simulation/cell_simulation.hpp
+++ b/test/simulation/cell_simulation.hpp
@@ -130,13 +130,12 @@
 
     // Workers.
     template <class Result>
-    void call_worker(std::size_t from, const fleet::worker_listing& worker,
-                     base::time_point send_by, bool is_order,
-                     std::function<void(worker_model&,
-                                        std::function<void(Result)>)>
-                         execute,
-                     std::function<void(Result)> done, Result unsent,
-                     Result unanswered, milliseconds timeout);
+    void call_worker(
+        std::size_t from, const fleet::worker_listing& worker,
+        base::time_point send_by, bool is_order,
+        std::function<void(worker_model&, std::function<void(Result)>)> execute,
+        std::function<void(Result)> done, Result unsent, Result unanswered,
+        milliseconds timeout);
     bool reaches(std::size_t from, const worker_entry& worker) const;
     void report_workers();
 
--- a/test/simulation/main.cpp
+++ b/test/simulation/main.cpp
@@ -69,10 +69,11 @@
     }
     catch (const std::logic_error&)
     {
-        fmt::print(stderr, "usage: simulate-cell FIRST LAST [DAEMONS] [WORKERS] "
-                           "[SECONDS]\n"
-                           "       simulate-cell --replay SEED [DAEMONS] "
-                           "[WORKERS] [SECONDS]\n");
+        fmt::print(stderr,
+                   "usage: simulate-cell FIRST LAST [DAEMONS] [WORKERS] "
+                   "[SECONDS]\n"
+                   "       simulate-cell --replay SEED [DAEMONS] "
+                   "[WORKERS] [SECONDS]\n");
         return EXIT_FAILURE;
     }
 }
--- /dev/null
+++ b/test/simulation/simulation_test.cpp
@@ -0,0 +1,79 @@
+// Guards against a simulation that cannot be repeated, or that checks nothing,
+// and runs the seeds that have found a fault.
+
+#include "cell_simulation.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootrack::simulation
+{
+namespace
+{
+
+simulation_options options_of(std::uint64_t seed)
+{
+    simulation_options made;
+    made.seed = seed;
+    return made;
+}
+
+} // namespace
+
+class simulation_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(simulation_test);
+    CPPUNIT_TEST(same_seed_gives_the_same_history);
+    CPPUNIT_TEST(seeds_that_failed_break_no_rule);
+    CPPUNIT_TEST(fixed_seeds_break_no_rule);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void same_seed_gives_the_same_history()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            simulation_options options = options_of(seed);
+            options.length = std::chrono::seconds(10);
+            options.keep_history = true;
+            cell_simulation first(options);
+            first.run();
+            cell_simulation second(options);
+            second.run();
+            CPPUNIT_ASSERT(!first.history().empty());
+            CPPUNIT_ASSERT(first.history() == second.history());
+        }
+    }
+
+    void seeds_that_failed_break_no_rule()
+    {
+        // 347: a leader that had stepped down repeated a start.
+        for (const std::uint64_t seed : {347})
+        {
+            check(seed);
+        }
+    }
+
+    void fixed_seeds_break_no_rule()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed)
+        {
+            check(seed);
+        }
+    }
+
+private:
+    static void check(std::uint64_t seed)
+    {
+        cell_simulation tested(options_of(seed));
+        tested.run();
+        const std::string first =
+            tested.violations().empty() ? "" : tested.violations().front();
+        CPPUNIT_ASSERT_EQUAL(std::string(), first);
+        // Otherwise there was nothing to check.
+        CPPUNIT_ASSERT(tested.starts() > 100);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(simulation_test);
+
+} // namespace coltsfootrack::simulation
--- a/test/simulation/store_model.cpp
+++ b/test/simulation/store_model.cpp
@@ -79,25 +79,26 @@
                                    std::weak_ptr<bool> alive)
 {
     cell::store_port made;
-    made.transact = [this, daemon, alive](const cell::transaction& value,
-                                          const auto& done)
+    made.transact =
+        [this, daemon, alive](const cell::transaction& value, const auto& done)
     {
         answer<cell::transaction_result>(
             daemon, [this, value] { return apply(value); },
             while_alive<cell::transaction_result>(alive, done), write_timeout);
     };
-    made.read = [this, daemon,
-                 alive](const std::string& table, const std::string& part,
-                        const std::string& from, std::size_t limit,
-                        const auto& done)
+    made.read = [this, daemon, alive](const std::string& table,
+                                      const std::string& part,
+                                      const std::string& from,
+                                      std::size_t limit, const auto& done)
     {
         answer<cell::read_result>(
-            daemon, [this, table, part, from, limit]
+            daemon,
+            [this, table, part, from, limit]
             { return page(table, part, from, limit); },
             while_alive<cell::read_result>(alive, done), read_timeout);
     };
-    made.read_row = [this, daemon, alive](const cell::row_id& id,
-                                          const auto& done)
+    made.read_row =
+        [this, daemon, alive](const cell::row_id& id, const auto& done)
     {
         answer<cell::read_result>(
             daemon,
@@ -161,7 +162,7 @@
             existing.push_back(write.row);
         }
     }
-    const cell::transaction_result result = rows_.apply(value);
+    cell::transaction_result result = rows_.apply(value);
     if (result.status == cell::transaction_status::committed)
     {
         for (const cell::row_id& id : existing)
--- a/test/simulation/virtual_time.hpp
+++ b/test/simulation/virtual_time.hpp
@@ -80,9 +80,9 @@
     // A number from `low` to `high`, both included.
     std::int64_t between(std::int64_t low, std::int64_t high)
     {
-        return low + static_cast<std::int64_t>(
-                         random_() %
-                         static_cast<std::uint64_t>(high - low + 1));
+        return low +
+               static_cast<std::int64_t>(
+                   random_() % static_cast<std::uint64_t>(high - low + 1));
     }
 
     milliseconds between(milliseconds low, milliseconds high)
--- a/test/simulation/worker_model.hpp
+++ b/test/simulation/worker_model.hpp
@@ -85,8 +85,8 @@
     void acknowledge(std::uint64_t number);
     void answer_waiting();
     cell::renewal_result report();
-    void record(const char* kind, const jobs::task_key& task,
-                std::uint64_t run, nlohmann::json more = {});
+    void record(const char* kind, const jobs::task_key& task, std::uint64_t run,
+                nlohmann::json more = {});
 
     virtual_time& time_;
     std::string id_;
