--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,7 +28,7 @@
 
 def lasting(fails):
     return {"spec": "700 fail" if fails else "600000", "steps": [
-        {"count": 12, "cpu": 3000, "mem_mb": 6200, "estimate_ms": 700,
+        {"count": 18, "cpu": 3000, "mem_mb": 6200, "estimate_ms": 700,
          "long_running": True}]}
 
 
--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -18,6 +18,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.parse
 
@@ -694,14 +695,15 @@
         name = json.loads(text)["daemon"] if text else None
         return next((d for d in self.daemons if d.name == name), None)
 
-    def stop(self):
-        for task in self.background:
-            task.cancel()
+    def kill_daemons(self):
         for daemon in self.daemons:
             if daemon.process is not None and daemon.process.poll() is None:
                 daemon.process.send_signal(signal.SIGCONT)
                 daemon.process.kill()
                 daemon.process.wait()
+
+    def stop(self):
+        self.kill_daemons()
         keep = os.environ.get("KEEP_LOGS")
         if keep:
             os.makedirs(keep, exist_ok=True)
@@ -764,13 +766,22 @@
             cell.record.add("verdict", text="the case took too long")
             return 2
 
+    def give_up():
+        cell.kill_daemons()
+        os._exit(2)
+
+    watchdog = threading.Timer(116, give_up)
+    watchdog.daemon = True
+    watchdog.start()
     status = 2
+    # Not asyncio.run: it would wait for the connections that are cut.
+    loop = asyncio.new_event_loop()
     try:
-        status = asyncio.run(main())
-    finally:
-        if not cell.record.file.closed:
-            cell.record.add("exit", status=status)
-        cell.stop()
+        status = loop.run_until_complete(main())
+    except Exception as error:  # pylint: disable=broad-except
+        print("error: %r" % error)
+    cell.record.add("exit", status=status)
+    cell.stop()
     print({0: "the rule held", 1: "the rule was broken",
            2: "the case could not run"}[status])
     sys.stdout.flush()
