Grant no lease without the store unless every daemon is reached

Cause: a leader without the store went on while it was connected to more than half of the cell. The next leader is made by the store, so a single daemon that reaches the store can be it, and it counts the leases of the former one as expired. A majority without the store proves nothing. Also, when the store answered again, the former leader ordered starts before it had read who leads.

Change: without the store, a leader that does not reach every daemon grants no lease and orders nothing; afterwards it reads the leader row first. A daemon that has ended, or has just been started and knows no peers, counts as reached if its VM answers: it cannot lead. Why it works: whoever takes over is either reached, and its status names its epoch, or not, and the leases end within 5 s, before the next leader counts them as expired.

--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -205,6 +205,7 @@
     void record_store_result(bool answered, std::chrono::milliseconds delay);
     void detect_unresponsive_store();
     void detect_isolation();
+    std::vector<std::string> members_not_reached() const;
     void log_traffic();
     void publish_waiting(const std::map<std::string, int>& counts);
 
@@ -244,7 +245,7 @@
     traffic_log traffic_log_;
     bool store_up_ = false;
     base::time_point store_answered_at_;
-    // Neither the store nor more than half of the cell is reachable.
+    // Neither the store nor every daemon of the cell is reachable.
     bool isolated_ = false;
     // Since when the store has answered without a failure.
     base::time_point store_up_since_;
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -116,9 +116,9 @@
     // this long: worker entries that expired during an outage are back about
     // 2 s after it, and the follower of the list needs another second.
     milliseconds list_complete_delay{3000};
-    // A leader that has had no answer from the store for this long and reaches
-    // at most half of the cell grants no lease. Peers wait as long before they
-    // take over from it.
+    // A leader that has had no answer from the store for this long, and has not
+    // reached every daemon of the cell within this time, grants no lease. Peers
+    // wait as long before they take over from it.
     milliseconds isolated_after{1500};
     // A submission that was not sent to the store within this time is refused.
     milliseconds submit_timeout{1000};
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -58,9 +58,9 @@
         // Whether the store has answered long enough for its list of workers
         // to be complete again after an outage. Optional; true without it.
         std::function<bool()> list_complete;
-        // Whether this daemon reaches neither the store nor most of the cell,
-        // so that there may be another leader that it does not know of. It
-        // then grants no lease. Optional; false without it.
+        // Whether this daemon reaches neither the store nor every daemon of
+        // the cell, so that there may be another leader that it does not know
+        // of. It then grants no lease. Optional; false without it.
         std::function<bool()> isolated;
         // Called with true after each answer of the store, and with false
         // after each failure.
@@ -82,6 +82,11 @@
 
     void set_catalogue(std::shared_ptr<const fleet::catalogue> value);
 
+    // The hook `isolated` has become true. Another leader may have taken over,
+    // and the next answer of the store need not tell: nothing is ordered and no
+    // lease granted before the leader row was read, or every daemon reached.
+    void on_isolated();
+
     // A daemon has stored a job or a cancellation.
     void on_job(const base::job_id& id, const std::string& row);
     void on_cancel(const base::job_id& id);
--- a/include/coltsfootrack/cell/pause_detector.hpp
+++ b/include/coltsfootrack/cell/pause_detector.hpp
@@ -38,6 +38,12 @@
         return paused_ || now - active_at_ > limit_;
     }
 
+    // The right may have passed to another process for another reason.
+    void assume_pause()
+    {
+        paused_ = true;
+    }
+
     void reset(base::time_point now)
     {
         paused_ = false;
--- a/include/coltsfootrack/cell/peer_port.hpp
+++ b/include/coltsfootrack/cell/peer_port.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_CELL_PEER_PORT_HPP_INCLUDED
 #define COLTSFOOTRACK_CELL_PEER_PORT_HPP_INCLUDED
 
+#include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/base/id.hpp>
 #include <coltsfootrack/wire/message.hpp>
 #include <coltsfootrack/wire/peer_address.hpp>
@@ -30,6 +31,9 @@
     // Returns the number of connected peers.
     std::function<std::size_t(const wire::message&)> broadcast;
     std::function<std::vector<base::daemon_id>()> connected;
+    // Connected peers, and those whose VM has answered an attempt to connect
+    // within this time.
+    std::function<std::vector<base::daemon_id>(base::duration)> reached;
     std::function<wire::peer_traffic()> traffic;
 };
 
--- a/include/coltsfootrack/wire/peer_links.hpp
+++ b/include/coltsfootrack/wire/peer_links.hpp
@@ -66,6 +66,11 @@
     // Peers with both directions connected, in the order of their ids.
     std::vector<base::daemon_id> connected() const;
 
+    // Peers that are connected, or whose VM has answered an attempt to connect
+    // within `age`: their process is not running, or refuses this daemon
+    // because it does not know it yet. In the order of their ids.
+    std::vector<base::daemon_id> reached(base::duration age) const;
+
     peer_traffic traffic() const;
 
     // The port on which this daemon listens.
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -7,6 +7,7 @@
 #include <coltsfootrack/cell/member_row.hpp>
 #include <coltsfootrack/cell/retry_after.hpp>
 
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <utility>
 
@@ -350,21 +351,56 @@
     }
 }
 
+// Any daemon that reaches the store can become the leader, and only the store
+// or that daemon tells this one. So without the store, a single daemon that is
+// not reached may lead; how many others are reached proves nothing. A daemon
+// that is reached but not connected is not running, or has just been started
+// and has read nothing from the store.
 void cell_daemon::detect_isolation()
 {
-    const bool store_lost =
-        clock_.now() - store_answered_at_ > options_.isolated_after;
-    // Members include this daemon.
-    const bool isolated =
-        store_lost && 2 * (peers_.connected().size() + 1) <= members_.size();
-    if (isolated != isolated_)
+    std::vector<std::string> missing;
+    if (clock_.now() - store_answered_at_ > options_.isolated_after)
     {
-        isolated_ = isolated;
-        base::log(base::log_level::warning, log_part, "{}",
-                  isolated
-                      ? "Neither the store nor most of the cell is reachable."
-                      : "The store or most of the cell is reachable again.");
+        missing = members_not_reached();
     }
+    const bool isolated = !missing.empty();
+    if (isolated == isolated_)
+    {
+        return;
+    }
+    isolated_ = isolated;
+    if (!isolated)
+    {
+        base::log(base::log_level::info, log_part,
+                  "The store or all daemons are reachable again.");
+        return;
+    }
+    metrics_.count_event("isolated");
+    base::log(base::log_level::warning, log_part,
+              "Neither the store nor all daemons are reachable; another one "
+              "may lead. leading={} members={} not_reached={}",
+              leadership_ != nullptr, members_.size(),
+              absl::StrJoin(missing, ","));
+    if (leadership_)
+    {
+        leadership_->on_isolated();
+    }
+}
+
+std::vector<std::string> cell_daemon::members_not_reached() const
+{
+    const std::vector<base::daemon_id> reached =
+        peers_.reached(options_.isolated_after);
+    std::vector<std::string> missing;
+    for (const auto& [id, address] : members_)
+    {
+        if (id != options_.daemon &&
+            !std::binary_search(reached.begin(), reached.end(), id))
+        {
+            missing.push_back(id.text());
+        }
+    }
+    return missing;
 }
 
 } // namespace coltsfootrack::cell
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -363,9 +363,9 @@
     return true;
 }
 
-// An isolated leader grants no lease: the next leader assumes, seconds after
-// taking over, that all leases of this one have expired, even at workers that
-// only this one reaches.
+// A leader that may have been replaced grants no lease: the next one assumes,
+// seconds after taking over, that all leases of this one have expired, even at
+// workers that only this one reaches.
 std::optional<std::chrono::milliseconds>
 leadership::grant_lease(const base::worker_id& worker)
 {
--- a/src/cell/leadership_pause.cpp
+++ b/src/cell/leadership_pause.cpp
@@ -1,6 +1,7 @@
-// What a leader does when its process was paused: peers may have taken over, so
-// it reads the leader row before it orders anything. The fencing tokens of the
-// workers do not replace this: one that has restarted since knows none.
+// What a leader does when its process was paused or isolated: peers may have
+// taken over, so it reads the leader row before it orders anything. The fencing
+// tokens of the workers do not replace this: one that has restarted since, or
+// that the next leader does not reach, knows none.
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/leader_row.hpp>
@@ -30,6 +31,12 @@
 
 } // namespace
 
+void leadership::on_isolated()
+{
+    pauses_.assume_pause();
+    request_round();
+}
+
 void leadership::confirm_leadership()
 {
     if (resumed_at_)
@@ -39,9 +46,9 @@
     resumed_at_ = clock_.now();
     metrics_.count_event("leader_paused");
     base::log(base::log_level::warning, log_part,
-              "Resumed after a pause; reading the leader row. epoch={} "
-              "since_last_round_ms={}",
-              epoch(),
+              "Reading the leader row before the next order. epoch={} "
+              "isolated={} since_last_round_ms={}",
+              epoch(), hooks_.isolated && hooks_.isolated(),
               std::chrono::duration_cast<std::chrono::milliseconds>(
                   clock_.now() - last_round_)
                   .count());
@@ -65,7 +72,7 @@
                           clock_.now() - sent <= options_.paused_after;
     if (answered && !is_led_by(epoch(), result.rows))
     {
-        report_lost("it was paused, and no longer leads");
+        report_lost("it was paused or isolated, and no longer leads");
         return;
     }
     if (!answered && !peers_confirm())
@@ -78,8 +85,8 @@
     request_round();
 }
 
-// Whether most of the cell is connected and has had the time to name a later
-// leader, whereupon this one would have stepped down.
+// Whether every daemon of the cell is reached and has had the time to name a
+// later leader, whereupon this one would have stepped down.
 bool leadership::peers_confirm() const
 {
     return clock_.now() - *resumed_at_ >= options_.peers_confirm_after &&
--- a/src/cell/peer_port.cpp
+++ b/src/cell/peer_port.cpp
@@ -24,6 +24,10 @@
     {
         return links.connected();
     };
+    port.reached = [&links](base::duration age)
+    {
+        return links.reached(age);
+    };
     port.traffic = [&links]
     {
         return links.traffic();
--- a/src/wire/outgoing_link.cpp
+++ b/src/wire/outgoing_link.cpp
@@ -95,12 +95,14 @@
         {
             return;
         }
+        int error = 0;
         socket_ = start_connect(address_.address, address_.port,
-                                options_->idle_timeout);
+                                options_->idle_timeout, error);
         state_ = state::connecting;
         state_since_ = now;
         if (!socket_.is_open())
         {
+            note_answer(error, now);
             close(now, random);
         }
         return;
@@ -162,7 +164,9 @@
     }
     if (state_ == state::connecting)
     {
-        if (!connect_succeeded(socket_))
+        const int error = connect_error(socket_);
+        note_answer(error, now);
+        if (error != 0)
         {
             close(now, random);
             return;
@@ -179,6 +183,7 @@
     {
         char byte = 0;
         const ssize_t count = recv(socket_.descriptor(), &byte, 1, 0);
+        note_answer(count < 0 ? errno : 0, now);
         if (count > 0)
         {
             // The peer sends only on the connection that it opened. This also
@@ -198,6 +203,16 @@
     }
 }
 
+// An established, refused or closed connection shows that the peer's VM can be
+// reached; a timeout or an unreachable network does not.
+void outgoing_link::note_answer(int error, base::time_point now)
+{
+    if (error == 0 || error == ECONNREFUSED || error == ECONNRESET)
+    {
+        answered_at_ = now;
+    }
+}
+
 bool outgoing_link::has_unsent() const
 {
     return buffer_sent_ < buffer_.size() || !queue_.empty();
--- a/src/wire/outgoing_link.hpp
+++ b/src/wire/outgoing_link.hpp
@@ -15,6 +15,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace coltsfootrack::wire
@@ -43,6 +44,13 @@
         return state_ == state::open;
     }
 
+    // When the peer's VM last answered an attempt to connect, or closed a
+    // connection; nullopt if it never did.
+    std::optional<base::time_point> answered_at() const
+    {
+        return answered_at_;
+    }
+
     // Adds a frame; false if the link is not open or the queue is full and
     // holds no heartbeat to drop. The frame may be shared with other links.
     bool enqueue(message_type type,
@@ -103,6 +111,7 @@
     };
 
     bool drop_heartbeat(peer_traffic& traffic);
+    void note_answer(int error, base::time_point now);
     bool has_unsent() const;
     void fill_buffer();
     std::string encoded(const std::string& frame);
@@ -123,6 +132,7 @@
     // Set by the first frame that is worth it.
     std::unique_ptr<frame_compressor> compressor_;
     std::uint32_t failures_ = 0;
+    std::optional<base::time_point> answered_at_;
     // When to connect next, in state::waiting.
     base::time_point next_connect_;
     // When the link began to connect or was connected.
--- a/src/wire/peer_links.cpp
+++ b/src/wire/peer_links.cpp
@@ -65,6 +65,11 @@
     return impl_->connected();
 }
 
+std::vector<base::daemon_id> peer_links::reached(base::duration age) const
+{
+    return impl_->reached(age);
+}
+
 peer_traffic peer_links::traffic() const
 {
     return impl_->traffic();
--- a/src/wire/peer_links_impl.cpp
+++ b/src/wire/peer_links_impl.cpp
@@ -150,6 +150,23 @@
     return ids;
 }
 
+std::vector<base::daemon_id>
+peer_links::impl::reached(base::duration age) const
+{
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const base::time_point now = clock_.now();
+    std::vector<base::daemon_id> ids;
+    for (const auto& [id, entry] : peers_)
+    {
+        const auto answered = entry.out.answered_at();
+        if (entry.reported_hello || (answered && now - *answered <= age))
+        {
+            ids.push_back(id);
+        }
+    }
+    return ids;
+}
+
 peer_traffic peer_links::impl::traffic() const
 {
     const std::lock_guard<std::mutex> lock(mutex_);
--- a/src/wire/peer_links_impl.hpp
+++ b/src/wire/peer_links_impl.hpp
@@ -40,6 +40,7 @@
     bool send(const base::daemon_id& peer, const message& value);
     std::size_t broadcast(const message& value);
     std::vector<base::daemon_id> connected() const;
+    std::vector<base::daemon_id> reached(base::duration age) const;
     peer_traffic traffic() const;
     std::uint16_t port() const;
 
--- a/src/wire/sockets.cpp
+++ b/src/wire/sockets.cpp
@@ -109,8 +109,9 @@
 }
 
 socket_handle start_connect(const std::string& address, std::uint16_t port,
-                            std::chrono::milliseconds timeout)
+                            std::chrono::milliseconds timeout, int& error)
 {
+    error = EINVAL;
     const address_list list = resolve(address, port);
     if (list == nullptr)
     {
@@ -119,6 +120,7 @@
     socket_handle socket(::socket(list->ai_family, socket_flags, 0));
     if (!socket.is_open())
     {
+        error = errno;
         return {};
     }
     // Messages are small and must not be delayed.
@@ -128,18 +130,21 @@
     if (connect(socket.descriptor(), list->ai_addr, list->ai_addrlen) != 0 &&
         errno != EINPROGRESS)
     {
+        error = errno;
         return {};
     }
+    error = 0;
     return socket;
 }
 
-bool connect_succeeded(const socket_handle& socket)
+int connect_error(const socket_handle& socket)
 {
     int error = 0;
     socklen_t length = sizeof error;
     return getsockopt(socket.descriptor(), SOL_SOCKET, SO_ERROR, &error,
-                      &length) == 0 &&
-           error == 0;
+                      &length) == 0
+               ? error
+               : errno;
 }
 
 socket_handle accept_on(const socket_handle& listener)
--- a/src/wire/sockets.hpp
+++ b/src/wire/sockets.hpp
@@ -21,13 +21,15 @@
 // The local port of a bound socket; 0 if it has none.
 std::uint16_t local_port(const socket_handle& socket);
 
-// Starts to connect a non-blocking socket; not open on failure. The system
-// closes the connection when sent data stays unacknowledged for the timeout.
+// Starts to connect a non-blocking socket; not open on failure, whose error
+// number is stored in `error`. The system closes the connection when sent data
+// stays unacknowledged for the timeout.
 socket_handle start_connect(const std::string& address, std::uint16_t port,
-                            std::chrono::milliseconds timeout);
+                            std::chrono::milliseconds timeout, int& error);
 
-// Whether the connection started by start_connect was established.
-bool connect_succeeded(const socket_handle& socket);
+// The error number of the connection started by start_connect; 0 if it was
+// established.
+int connect_error(const socket_handle& socket);
 
 // Accepts the next connection as a non-blocking socket; not open if there is
 // none.
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -164,6 +164,10 @@
     void set_isolated(bool isolated)
     {
         isolated_ = isolated;
+        if (isolated)
+        {
+            leadership_->on_isolated();
+        }
     }
 
     // Leases granted by renewals so far. Call inside run().
--- a/test/cell/paused_leader_test.cpp
+++ b/test/cell/paused_leader_test.cpp
@@ -42,8 +42,9 @@
     CPPUNIT_TEST(leader_replaced_during_pause_orders_nothing);
     CPPUNIT_TEST(leader_still_leading_after_pause_goes_on);
     CPPUNIT_TEST(leader_without_store_after_pause_grants_no_lease_at_once);
-    CPPUNIT_TEST(leader_without_store_after_pause_goes_on_with_most_peers);
+    CPPUNIT_TEST(leader_without_store_after_pause_goes_on_with_all_peers);
     CPPUNIT_TEST(leader_isolated_after_pause_orders_nothing);
+    CPPUNIT_TEST(leader_replaced_while_isolated_orders_nothing_afterwards);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -79,7 +80,7 @@
         CPPUNIT_ASSERT_EQUAL(before, after);
     }
 
-    void leader_without_store_after_pause_goes_on_with_most_peers()
+    void leader_without_store_after_pause_goes_on_with_all_peers()
     {
         paused_leader f;
         f.harness.run([&] { f.harness.answer_reads(false); });
@@ -101,6 +102,23 @@
         f.harness.send_job("second", epoch);
         CPPUNIT_ASSERT(!f.harness.wait_started("second", soon));
     }
+
+    // Guards against a start by a former leader when the store answers again,
+    // before that leader has learned of the next one.
+    void leader_replaced_while_isolated_orders_nothing_afterwards()
+    {
+        paused_leader f;
+        f.harness.run([&] { f.harness.set_isolated(true); });
+        f.harness.send_job("second", epoch);
+        f.harness.run(
+            [&]
+            {
+                f.harness.put_leader_row(epoch + 1);
+                f.harness.set_isolated(false);
+            });
+        CPPUNIT_ASSERT(f.harness.wait_lost(soon));
+        CPPUNIT_ASSERT(!f.harness.wait_started("second", milliseconds(100)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(paused_leader_test);
--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -41,6 +41,18 @@
 
 } // namespace
 
+simulation_options partition_scenario(std::uint64_t seed)
+{
+    simulation_options made;
+    made.seed = seed;
+    made.length = std::chrono::seconds(60);
+    made.longest_task = milliseconds(8000);
+    made.longest_job_interval = milliseconds(2000);
+    made.longest_partition = milliseconds(40000);
+    made.faults = false;
+    return made;
+}
+
 cell_simulation::cell_simulation(const simulation_options& options)
     : options_(options)
     , time_(options.seed)
@@ -71,7 +83,7 @@
             [this](const jobs::task_key& /*task*/, std::uint64_t /*run*/)
             {
                 return task_behaviour{
-                    time_.between(milliseconds(30), milliseconds(1500)),
+                    time_.between(milliseconds(30), options_.longest_task),
                     time_.chance(5)};
             },
             [this](const nlohmann::json& event)
@@ -353,7 +365,7 @@
 {
     link& made = link_of(a, b);
     if (made.up || !nodes_[a].alive || !nodes_[b].alive || nodes_[a].paused ||
-        nodes_[b].paused)
+        nodes_[b].paused || is_cut(nodes_[a].zone, nodes_[b].zone))
     {
         return;
     }
@@ -405,7 +417,8 @@
         [this, from, to, value, number = used.number]
         {
             const link& current = link_of(from, to);
-            if (current.number != number || !current.up)
+            if (current.number != number || !current.up ||
+                is_cut(nodes_[from].zone, nodes_[to].zone))
             {
                 return;
             }
@@ -455,6 +468,22 @@
         }
         return found;
     };
+    made.reached = [this, index](base::duration /*age*/)
+    {
+        std::vector<base::daemon_id> found;
+        for (std::size_t to = 0; to < nodes_.size(); ++to)
+        {
+            // The VM of a process that was killed answers.
+            if (to != index &&
+                (link_of(index, to).up ||
+                 (!nodes_[to].alive &&
+                  !is_cut(nodes_[index].zone, nodes_[to].zone))))
+            {
+                found.push_back(nodes_[to].id);
+            }
+        }
+        return found;
+    };
     made.traffic = []
     {
         return wire::peer_traffic();
@@ -468,7 +497,8 @@
                               const worker_entry& worker) const
 {
     return worker.cut_from != "*" &&
-           worker.cut_from != nodes_[from].zone.text();
+           worker.cut_from != nodes_[from].zone.text() &&
+           !is_cut(nodes_[from].zone, worker.zone);
 }
 
 template <class Result>
@@ -574,7 +604,8 @@
     for (auto& [id, worker] : workers_)
     {
         const cell::row_id row{worker_table, "", id};
-        if (worker.model->up() && !worker.cut_from_store)
+        if (worker.model->up() && !worker.cut_from_store &&
+            reaches_store(worker.zone))
         {
             worker.heard = time_.now();
         }
@@ -644,7 +675,7 @@
         time_.after(time_.between(milliseconds(100), milliseconds(2000)),
                     [this, id] { cancel(id); });
     }
-    time_.after(time_.between(milliseconds(20), milliseconds(250)),
+    time_.after(time_.between(milliseconds(20), options_.longest_job_interval),
                 [this] { submit_job(); });
 }
 
@@ -823,9 +854,91 @@
                 [this] { inject_fault(); });
 }
 
+// Cuts one or two of the three zones off from the store and the others. A
+// daemon notices the silence of its peers later.
+void cell_simulation::inject_partition()
+{
+    if (faults_over_)
+    {
+        return;
+    }
+    const auto first = static_cast<std::size_t>(time_.between(0, 2));
+    cut_zones_ = {zones[first]};
+    if (time_.chance(50))
+    {
+        cut_zones_.insert(zones[(first + 1) % zones.size()]);
+    }
+    const milliseconds length =
+        time_.between(milliseconds(500), options_.longest_partition);
+    if (options_.keep_history)
+    {
+        note(fmt::format("fault: {} zones from {} on cut off for {} ms",
+                         cut_zones_.size(), *cut_zones_.begin(),
+                         length.count()));
+    }
+    for (const node& each : nodes_)
+    {
+        if (!reaches_store(each.zone))
+        {
+            store_.refused.insert(each.id.text());
+        }
+    }
+    time_.after(std::min(length, peer_timeout),
+                [this]
+                {
+                    for (std::size_t a = 0; a < nodes_.size(); ++a)
+                    {
+                        for (std::size_t b = 0; b < a; ++b)
+                        {
+                            if (is_cut(nodes_[a].zone, nodes_[b].zone))
+                            {
+                                disconnect(a, b);
+                            }
+                        }
+                    }
+                });
+    time_.after(length,
+                [this]
+                {
+                    heal_partition();
+                    time_.after(
+                        time_.between(milliseconds(3000), milliseconds(15000)),
+                        [this] { inject_partition(); });
+                });
+}
+
+void cell_simulation::heal_partition()
+{
+    cut_zones_.clear();
+    store_.refused.clear();
+    for (std::size_t a = 0; a < nodes_.size(); ++a)
+    {
+        for (std::size_t b = 0; b < a; ++b)
+        {
+            time_.after(time_.between(milliseconds(20), milliseconds(400)),
+                        [this, a, b] { connect(a, b); });
+        }
+    }
+}
+
+bool cell_simulation::is_cut(const base::zone_id& a,
+                             const base::zone_id& b) const
+{
+    return cut_zones_.count(a.text()) != cut_zones_.count(b.text());
+}
+
+bool cell_simulation::reaches_store(const base::zone_id& zone) const
+{
+    return cut_zones_.count(zone.text()) == 0;
+}
+
 void cell_simulation::end_faults()
 {
     faults_over_ = true;
+    if (!cut_zones_.empty())
+    {
+        heal_partition();
+    }
     store_.lost_percent = 0;
     store_.refused.clear();
     late_orders_percent_ = 0;
@@ -912,7 +1025,14 @@
 void cell_simulation::run()
 {
     time_.after(milliseconds(1500), [this] { submit_job(); });
-    time_.after(milliseconds(2500), [this] { inject_fault(); });
+    if (options_.faults)
+    {
+        time_.after(milliseconds(2500), [this] { inject_fault(); });
+    }
+    if (options_.longest_partition > milliseconds(0))
+    {
+        time_.after(milliseconds(4000), [this] { inject_partition(); });
+    }
     run_until(time_.now() + options_.length);
     end_faults();
     const base::time_point limit = time_.now() + finish_limit;
--- a/test/simulation/cell_simulation.hpp
+++ b/test/simulation/cell_simulation.hpp
@@ -11,6 +11,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,10 +25,22 @@
     int workers = 8;
     // How long faults are injected and jobs submitted.
     std::chrono::seconds length{30};
+    // The longest task, and the longest time between two jobs.
+    std::chrono::milliseconds longest_task{1500};
+    std::chrono::milliseconds longest_job_interval{250};
+    // Whether daemons, workers, connections and the store fail.
+    bool faults = true;
+    // Whether the zones are cut apart, with the store on either side, again and
+    // again for up to this long.
+    std::chrono::milliseconds longest_partition{0};
     // Whether what happens is kept as text.
     bool keep_history = false;
 };
 
+// Long tasks, and cuts between zones with the store on either side, for up to
+// 40 s each.
+simulation_options partition_scenario(std::uint64_t seed);
+
 // A cell of daemons, a store, workers and callers in one thread and in virtual
 // time. Every choice is drawn from the seed, so the same seed gives the same
 // history.
@@ -147,6 +160,10 @@
 
     // Faults.
     void inject_fault();
+    void inject_partition();
+    void heal_partition();
+    bool is_cut(const base::zone_id& a, const base::zone_id& b) const;
+    bool reaches_store(const base::zone_id& zone) const;
     void end_faults();
     std::size_t pick_node();
 
@@ -165,6 +182,8 @@
     std::map<std::string, caller_job> jobs_;
     soak::history_checker checker_;
     int next_job_ = 0;
+    // The zones that are cut off from the store and the other zones.
+    std::set<std::string> cut_zones_;
     bool faults_over_ = false;
     // Percentages of the calls to workers, while such a fault lasts.
     int late_orders_percent_ = 0;
--- a/test/simulation/main.cpp
+++ b/test/simulation/main.cpp
@@ -1,10 +1,10 @@
 // Simulates a cell with each seed of a range, and prints the rules that broke.
 //
-//     simulate-cell FIRST LAST [DAEMONS] [WORKERS] [SECONDS]
-//     simulate-cell --replay SEED [DAEMONS] [WORKERS] [SECONDS]
+//     simulate-cell [--partitions] FIRST LAST [DAEMONS] [WORKERS] [SECONDS]
+//     simulate-cell [--partitions] --replay SEED [DAEMONS] [WORKERS] [SECONDS]
 //
-// The second form prints the history of one seed. The last line is "N passed, N
-// failed".
+// The second form prints the history of one seed. With --partitions, zones are
+// cut apart and nothing else fails. The last line is "N passed, N failed".
 
 #include "cell_simulation.hpp"
 
@@ -27,15 +27,23 @@
     return index < words.size() ? std::stoi(words[index]) : fallback;
 }
 
-int simulate(const std::vector<std::string>& words)
+int simulate(std::vector<std::string> words)
 {
+    const bool partitions = words.at(0) == "--partitions";
+    if (partitions)
+    {
+        words.erase(words.begin());
+    }
     const bool replay = words.at(0) == "--replay";
     const std::uint64_t first = std::stoull(words.at(replay ? 1 : 0));
     const std::uint64_t last = replay ? first : std::stoull(words.at(1));
-    simulation_options options;
+    simulation_options options =
+        partitions ? coltsfootrack::simulation::partition_scenario(first)
+                   : simulation_options();
     options.daemons = argument(words, 2, options.daemons);
     options.workers = argument(words, 3, options.workers);
-    options.length = std::chrono::seconds(argument(words, 4, 30));
+    options.length = std::chrono::seconds(
+        argument(words, 4, static_cast<int>(options.length.count())));
     options.keep_history = replay;
     int passed = 0;
     int failed = 0;
@@ -70,10 +78,10 @@
     catch (const std::logic_error&)
     {
         fmt::print(stderr,
-                   "usage: simulate-cell FIRST LAST [DAEMONS] [WORKERS] "
-                   "[SECONDS]\n"
-                   "       simulate-cell --replay SEED [DAEMONS] "
-                   "[WORKERS] [SECONDS]\n");
+                   "usage: simulate-cell [--partitions] FIRST LAST [DAEMONS] "
+                   "[WORKERS] [SECONDS]\n"
+                   "       simulate-cell [--partitions] --replay SEED "
+                   "[DAEMONS] [WORKERS] [SECONDS]\n");
         return EXIT_FAILURE;
     }
 }
--- a/test/simulation/simulation_test.cpp
+++ b/test/simulation/simulation_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(same_seed_gives_the_same_history);
     CPPUNIT_TEST(seeds_that_failed_break_no_rule);
     CPPUNIT_TEST(fixed_seeds_break_no_rule);
+    CPPUNIT_TEST(zones_cut_apart_break_no_rule);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -61,16 +62,38 @@
         }
     }
 
+    // Guards against two leaders that both act while zones are cut apart, with
+    // the store on one side and most daemons on the other, and right after. In
+    // seed 107 the former leader orders a start when the store answers again.
+    void zones_cut_apart_break_no_rule()
+    {
+        for (std::uint64_t seed = 1; seed <= 30; ++seed)
+        {
+            check(partition_scenario(seed), 30);
+            simulation_options small = partition_scenario(seed);
+            small.daemons = 3;
+            small.workers = 6;
+            check(small, 30);
+        }
+        check(partition_scenario(107), 30);
+    }
+
 private:
     static void check(std::uint64_t seed)
     {
-        cell_simulation tested(options_of(seed));
+        check(options_of(seed), 100);
+    }
+
+    // With too few starts there was nothing to check.
+    static void check(const simulation_options& options,
+                      std::uint64_t least_starts)
+    {
+        cell_simulation tested(options);
         tested.run();
         const std::string first =
             tested.violations().empty() ? "" : tested.violations().front();
         CPPUNIT_ASSERT_EQUAL(std::string(), first);
-        // Otherwise there was nothing to check.
-        CPPUNIT_ASSERT(tested.starts() > 100);
+        CPPUNIT_ASSERT(tested.starts() > least_starts);
     }
 };
 
--- a/test/wire/peer_links_test.cpp
+++ b/test/wire/peer_links_test.cpp
@@ -141,6 +141,7 @@
     CPPUNIT_TEST(full_queue_drops_oldest_heartbeat_only);
     CPPUNIT_TEST(lost_connection_reconnects);
     CPPUNIT_TEST(silent_peer_reported_down);
+    CPPUNIT_TEST(peer_without_process_is_reached_and_silent_one_is_not);
     CPPUNIT_TEST(faulty_incoming_connection_closed_and_others_served);
     CPPUNIT_TEST(frame_cut_off_by_its_connection_is_counted);
     CPPUNIT_TEST(start_bad_settings_refused);
@@ -371,6 +372,30 @@
         CPPUNIT_ASSERT(a.links->connected().empty());
     }
 
+    // Guards against a leader that takes a peer which is merely not running for
+    // one that may lead beyond a cut, or a silent one for one that may not.
+    void peer_without_process_is_reached_and_silent_one_is_not()
+    {
+        raw_socket listener;
+        const std::uint16_t silent_port = listener.listen_on_loopback();
+        const peer_address silent{base::daemon_id("silent"), base::zone_id("a"),
+                                  "127.0.0.1", silent_port};
+        peer_address ended;
+        {
+            const node other("ended");
+            ended = other.address();
+        }
+        const node tested("tested");
+        CPPUNIT_ASSERT(tested.links->set_peers({silent, ended}).ok());
+        const std::vector<base::daemon_id> expected = {ended.daemon};
+        const auto recent = std::chrono::milliseconds(500);
+        CPPUNIT_ASSERT(eventually(
+            [&] { return tested.links->reached(recent) == expected; }));
+        std::this_thread::sleep_for(2 * recent);
+        CPPUNIT_ASSERT(tested.links->reached(recent) == expected);
+        CPPUNIT_ASSERT(tested.links->connected().empty());
+    }
+
     void faulty_incoming_connection_closed_and_others_served()
     {
         node a("a");
