Tell jobs that fail everywhere from workers that fail everything

Cause: three failed runs of two jobs quarantined a worker, whatever these jobs did on other workers; each further failure doubled that, also of runs that were started before; and nothing kept part of a service in use.

Evidence: the log shows each worker quarantined after ends of the two failing jobs only, several times in the same moment.

Change: failures are kept with their task, and judged in each round. They tell against the worker unless the task has failed on other workers too, or its step has and no task of it was done. A quarantine whose evidence is refuted ends. Earlier runs do not extend it, and half of a service stays in use. Why it works: a job that always fails is started elsewhere at once, and its second failure there clears the first worker.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -242,8 +242,15 @@
     void apply_done(job_record& job, const jobs::task_key& task);
     void apply_failure(job_record& job, const run_end& end,
                        base::time_point now);
-    void update_health(worker_record& worker, const run_end& end,
-                       base::time_point now);
+    void note_done(worker_record& worker) const;
+    void note_failure(worker_record& worker, const jobs::task_key& task,
+                      base::time_point ordered_at, base::time_point now);
+    bool blames_worker(const jobs::task_key& task);
+    void quarantine_if_failing(worker_record& worker, base::time_point now);
+    void end_unfounded_quarantine(worker_record& worker, base::time_point now);
+    void release_excess_quarantines(
+        std::map<base::service_id, std::vector<worker_record*>>& usable,
+        base::time_point now);
     void advance_acknowledged(worker_record& worker);
     void request_stop(worker_record& worker, active_run& run);
     void clear_stop(worker_record& worker, active_run& run);
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -67,9 +67,17 @@
     milliseconds stop_retry_interval{500};
     // How long runs and ends of an unknown job wait for its row.
     milliseconds unknown_job_timeout{5000};
-    // Consecutive failures, of at least two jobs, that quarantine a worker.
+    // Consecutive failures that quarantine a worker, and the least number of
+    // jobs that they must be of. Failures that their job is to blame for do not
+    // count.
     int quarantine_failures = 3;
+    int quarantine_jobs = 2;
+    // The first quarantine; each further one without a run that is done in
+    // between is twice as long, at most max_quarantine.
     milliseconds quarantine{4000};
+    milliseconds max_quarantine{32000};
+    // The most workers of a service that are not used for their quarantine.
+    double max_quarantined_fraction = 0.5;
     // A worker that refused an order gets no tasks for this time.
     milliseconds refusal_backoff{500};
     // A task without progress for this long is stopped and started elsewhere.
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -29,9 +29,24 @@
     base::time_point valid_until;
 };
 
+// The workers on which runs of a task, or of any task of a step, have failed,
+// as far as it matters who is to blame.
+struct failing_workers
+{
+    std::optional<base::worker_id> first;
+    bool several = false;
+
+    void add(const base::worker_id& worker)
+    {
+        several = several || (first && *first != worker);
+        first = first.value_or(worker);
+    }
+};
+
 struct task_record
 {
     bool done = false;
+    failing_workers failed_on;
     // The worker of the active run, if there is one.
     std::optional<base::worker_id> worker;
     // The highest run number known.
@@ -50,6 +65,7 @@
 {
     std::vector<task_record> tasks;
     int done = 0;
+    failing_workers failed_on;
     // Tasks with an active run.
     int active = 0;
     // By worker_record::number.
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -31,6 +31,8 @@
 {
     using run_map = std::map<jobs::task_key, active_run>;
 
+    static constexpr std::size_t max_failed_runs = 16;
+
     worker_listing listing;
     // Unique among the workers of the fleet; indexes tables of workers.
     int number = 0;
@@ -82,13 +84,18 @@
     std::deque<unacknowledged_end> ends;
     // Since when an end of an unknown job has blocked the processing of ends.
     std::optional<base::time_point> unknown_since;
-    // Consecutive failures, the job of the last one, and whether they are of
-    // more than one job.
-    int failures = 0;
-    base::job_id failed_job;
-    bool several_jobs_failed = false;
+    // The tasks of the last runs that failed here since one was done, the
+    // newest last; at most max_failed_runs.
+    std::deque<jobs::task_key> failed_runs;
+    // Quarantines since a run was done here, the start of the last one, and how
+    // many of failed_runs led to it.
     int quarantines = 0;
-    base::time_point avoided_until;
+    base::time_point quarantined_at;
+    std::size_t quarantine_evidence = 0;
+    // Gets no tasks until then, unless too many workers of its service are
+    // quarantined; and after it refused an order.
+    base::time_point quarantined_until;
+    base::time_point refused_until;
     // For the current round: whether it accepts tasks; the room reserved for
     // waiting steps; the step that the whole worker is reserved for; the runs
     // that may be preempted, and their room.
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -203,6 +203,7 @@
 {
     rounds_.clear();
     unknown_usage_ = base::resources();
+    std::map<base::service_id, std::vector<worker_record*>> usable;
     for (auto& [id, worker] : workers_)
     {
         service_round& round = rounds_[worker.listing.service];
@@ -218,13 +219,28 @@
         worker.victims.clear();
         worker.schedulable =
             worker.listed && worker.synced && !worker.unresponsive &&
-            worker.unknown_size_runs == 0 && !worker.listing.leaving &&
-            now >= worker.avoided_until;
+            worker.unknown_size_runs == 0 && !worker.listing.leaving;
         if (worker.schedulable)
         {
-            round.schedulable.push_back(&worker);
-            round.max_room = component_max(
-                round.max_room, worker.listing.capacity - worker.used);
+            quarantine_if_failing(worker, now);
+            end_unfounded_quarantine(worker, now);
+            usable[worker.listing.service].push_back(&worker);
+        }
+    }
+    release_excess_quarantines(usable, now);
+    for (const auto& [service, workers] : usable)
+    {
+        service_round& round = rounds_[service];
+        for (worker_record* worker : workers)
+        {
+            worker->schedulable =
+                worker->schedulable && now >= worker->refused_until;
+            if (worker->schedulable)
+            {
+                round.schedulable.push_back(worker);
+                round.max_room = component_max(
+                    round.max_room, worker->listing.capacity - worker->used);
+            }
         }
     }
 }
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -249,8 +249,10 @@
                       base::log_list& line, base::time_point now)
 {
     const auto run = worker.runs.find(end.task);
+    base::time_point ordered_at = now;
     if (run != worker.runs.end() && run->second.run <= end.run)
     {
+        ordered_at = run->second.ordered_at;
         drop_run(worker, run);
     }
     job_record* job = find_job(end.task.step.job);
@@ -265,16 +267,17 @@
     {
         task->checkpoint = end.checkpoint;
     }
-    update_health(worker, end, now);
     const std::uint64_t before = job->change;
     if (end.kind == end_kind::done)
     {
+        note_done(worker);
         apply_done(*job, end.task);
         check_completed(*job, now);
     }
     else if (end.kind == end_kind::failed)
     {
         task->avoided_worker = worker.listing.worker;
+        note_failure(worker, end.task, ordered_at, now);
         apply_failure(*job, end, now);
     }
     line.add("{}.{}.{}.{}:{}:{}:{}", end.task.step.job.text(),
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -226,8 +226,8 @@
             {
                 task->avoided_worker = id;
             }
-            worker.avoided_until =
-                std::max(worker.avoided_until, now + options_.quarantine);
+            worker.quarantined_until =
+                std::max(worker.quarantined_until, now + options_.quarantine);
         }
     }
 }
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -1,5 +1,5 @@
-// Workers of a fleet: the platform's list, leases, health, and the outcomes of
-// orders.
+// Workers of a fleet: the platform's list, leases, and the outcomes of orders.
+// Their health is in fleet_health.cpp.
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
@@ -42,7 +42,8 @@
     }
     if (!(worker.listing == listing))
     {
-        worker.avoided_until = std::min(worker.avoided_until, now);
+        worker.refused_until = std::min(worker.refused_until, now);
+        worker.quarantined_until = std::min(worker.quarantined_until, now);
     }
     worker.listing = listing;
     worker.listed = true;
@@ -210,39 +211,6 @@
                        });
 }
 
-void fleet::update_health(worker_record& worker, const run_end& end,
-                          base::time_point now)
-{
-    if (end.kind == end_kind::done)
-    {
-        worker.failures = 0;
-        worker.quarantines = 0;
-        worker.several_jobs_failed = false;
-        return;
-    }
-    if (end.kind != end_kind::failed)
-    {
-        return;
-    }
-    worker.several_jobs_failed =
-        worker.several_jobs_failed ||
-        (worker.failures > 0 && worker.failed_job != end.task.step.job);
-    worker.failed_job = end.task.step.job;
-    ++worker.failures;
-    if (worker.failures >= options_.quarantine_failures &&
-        worker.several_jobs_failed)
-    {
-        constexpr int max_doublings = 3;
-        const int doublings = std::min(worker.quarantines, max_doublings);
-        worker.avoided_until = now + options_.quarantine * (1 << doublings);
-        ++worker.quarantines;
-        worker.failures = options_.quarantine_failures - 1;
-        base::log(base::log_level::warning, log_part,
-                  "Worker quarantined. worker={} times={}",
-                  worker.listing.worker.text(), worker.quarantines);
-    }
-}
-
 void fleet::on_start(const base::worker_id& id, const jobs::task_key& task,
                      std::uint64_t run, order_outcome outcome,
                      base::time_point now)
@@ -303,8 +271,7 @@
     }
     else if (outcome != order_outcome::late)
     {
-        worker.avoided_until =
-            std::max(worker.avoided_until, now + options_.refusal_backoff);
+        worker.refused_until = now + options_.refusal_backoff;
     }
 }
 
