Bound the stored progress of a job, and isolate rows that the store rejects

Cause: the progress row of a job kept each finished occurrence, and outgrew row_bytes after about 4,100 repeats. No limit was checked. The store's 400 was repeated like a 503, together with the other rows of the part, so no end was stored or acknowledged any more, and the workers seemed full.

Change: finished occurrences are stored as ranges and freed, tasks take a bit each, failures are ranges of runs. Occurrences begin, and tasks that have not failed start, only while the progress fits. A job that could not be carried to its end is refused with 400 at once. A rejected transaction is sent again row by row; a row that is rejected alone is dropped, and its job fails. Why it works: the row is bounded by what is open and has failed, not by what has ended; and a row that is too long for another reason costs only its job.

The tests showed a related fault: runs and ends of an occurrence that is not due yet by the clock of a new leader were stopped and dropped. What a worker lists now shows that the occurrence has begun.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -58,6 +58,9 @@
     // each part costs a write and three reads at a takeover.
     std::size_t job_parts = 16;
 
+    // The longest value of a row that the store takes, in bytes.
+    std::size_t max_row_bytes = 65536;
+
     fleet::fleet_options fleet;
 
     // The interval of the status messages to peers, which are also the
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -26,6 +26,8 @@
     exists,
     // Not written, and never will be.
     refused,
+    // The same; the store will not take this value later either.
+    rejected,
     // It may have been written, or may still be.
     unknown,
     // The fence of the part has changed: there is another leader.
@@ -47,6 +49,11 @@
 // elsewhere under the same key. Until the next answer one insert at a time is
 // sent as a probe; the others are refused at once instead of waiting for it.
 //
+// Failure handled: the store rejects a transaction for one of its rows. The
+// writes of that transaction are then sent one by one, and the one that is
+// rejected alone is dropped, so that it does not hold back the others of its
+// part.
+//
 // Limits: an insert beyond max_waiting is refused at once. The number of queued
 // updates is bounded by the number of rows that the leader writes, since a
 // newer update of a row replaces the queued one.
@@ -61,6 +68,10 @@
     static constexpr std::size_t max_batch = 45;
     static constexpr std::size_t max_waiting = 2000;
 
+    // The values of a transaction together: 1 MB as the platform counts them,
+    // less the encoding, keys and conditions.
+    static constexpr std::size_t max_batch_bytes = 600'000;
+
     // The back-off after a transaction that an overloaded or failed store
     // refused or did not answer.
     static constexpr std::chrono::milliseconds retry_pause{150};
@@ -158,6 +169,8 @@
     bool batch_overdue(base::time_point now) const;
     void handle_failure(std::vector<pending_write>& batch, base::time_point now,
                         bool uncertain);
+    void handle_rejection(std::vector<pending_write>& batch,
+                          base::time_point now);
     bool resolve_conflict(pending_write& write, const stored_row* current);
 
     std::optional<row_condition> fence_;
@@ -170,6 +183,8 @@
     base::time_point sent_at_;
     base::time_point retry_at_;
     bool last_attempt_failed_ = false;
+    // How many of the next writes are sent one by one.
+    std::size_t single_writes_ = 0;
 };
 
 } // namespace coltsfootrack::cell
--- a/include/coltsfootrack/cell/transaction_result.hpp
+++ b/include/coltsfootrack/cell/transaction_result.hpp
@@ -16,6 +16,9 @@
     conflict,
     // The store refused the call; nothing was written.
     refused,
+    // The store will never take this transaction, such as one with a row that
+    // is too long; nothing was written.
+    rejected,
     // No answer. The transaction may have been applied, or may still be
     // applied while its conditions hold.
     unknown
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -132,6 +132,10 @@
     // A store failure: the next round orders the save again.
     void on_save_failed(const base::job_id& job);
 
+    // The store will never take the progress of a job, so that it cannot be
+    // carried to its end: it fails.
+    void on_save_rejected(const base::job_id& job, base::time_point now);
+
     // At most `limit` jobs whose final state was stored, or loaded at the
     // takeover, before this time; oldest first.
     std::vector<base::job_id> finished_before(base::time_point time,
@@ -213,6 +217,8 @@
                     base::time_point now);
     void create_due_occurrences(job_record& job, wall_time wall);
     void create_occurrence(job_record& job, int occurrence);
+    void expect_occurrence(const jobs::step_key& key);
+    void finish_occurrence(job_record& job, int occurrence);
     void check_completed(job_record& job, base::time_point now);
     void adopt_orphans(const base::job_id& id, base::time_point now);
     std::string progress_text(const job_record& job) const;
@@ -267,9 +273,10 @@
     void stop_broken_gang(const jobs::step_key& key, const step_record& step);
 
     // Waiting steps.
-    bool step_ready(const job_record& job, std::size_t occurrence,
-                    const jobs::step_spec& spec) const;
-    bool step_ready_soon(const job_record& job, std::size_t occurrence,
+    static bool step_ready(const std::vector<step_record>& steps,
+                           const jobs::step_spec& spec);
+    bool step_ready_soon(const job_record& job,
+                         const std::vector<step_record>& steps,
                          const jobs::step_spec& spec, const queue_policy& queue,
                          base::time_point now) const;
     void charge_share(job_record& job);
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -86,8 +86,15 @@
     jobs::job_submission submission;
     // In the current catalogue; null if it is not there.
     const queue_policy* queue = nullptr;
-    // By occurrence, then step. An occurrence is empty until it is due.
-    std::vector<std::vector<step_record>> occurrences;
+    // The steps of the occurrences that have begun and not finished, by number.
+    std::map<int, std::vector<step_record>> occurrences;
+    // The occurrences of which all tasks are done.
+    jobs::index_ranges finished;
+    // All occurrences before this one have begun.
+    int next_occurrence = 0;
+    // The bytes that the failures of tasks which are not done take in the
+    // stored progress, at most.
+    std::size_t failure_bytes = 0;
     jobs::job_state state = jobs::job_state::queued;
     bool cancelled = false;
     // Submitted under a former leader or none, so that a former leader may have
@@ -111,19 +118,20 @@
     // Submitted beyond the share of its team.
     bool over_share = false;
     base::time_point finished_at;
+    // Its final state is stored, and its occurrences are freed.
+    bool retired = false;
 
     // When an occurrence was due, or a job without a schedule was submitted;
     // the objective counts from then.
-    base::time_point release_time(std::size_t occurrence) const
+    base::time_point release_time(int occurrence) const
     {
         const jobs::job_spec& spec = submission.spec;
         if (!spec.has_schedule())
         {
             return submitted_at;
         }
-        const auto due = spec.first_due +
-                         static_cast<std::int64_t>(occurrence) * spec.interval -
-                         submission.submitted;
+        const auto due =
+            spec.first_due + occurrence * spec.interval - submission.submitted;
         return submitted_at +
                std::max(base::duration(0),
                         std::chrono::duration_cast<base::duration>(due));
--- a/include/coltsfootrack/jobs/job_progress.hpp
+++ b/include/coltsfootrack/jobs/job_progress.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_JOBS_JOB_PROGRESS_HPP_INCLUDED
 #define COLTSFOOTRACK_JOBS_JOB_PROGRESS_HPP_INCLUDED
 
+#include <coltsfootrack/jobs/index_ranges.hpp>
 #include <coltsfootrack/jobs/job_state.hpp>
 #include <coltsfootrack/jobs/step_progress.hpp>
 
@@ -8,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace coltsfootrack::jobs
@@ -18,12 +20,15 @@
 struct job_progress
 {
     job_state state = job_state::queued;
-    // Keyed by occurrence and step.
+    // The occurrences of which all tasks are done.
+    index_ranges finished;
+    // The steps of the others, keyed by occurrence and step.
     std::map<std::pair<int, int>, step_progress> steps;
 
     friend bool operator==(const job_progress& a, const job_progress& b)
     {
-        return a.state == b.state && a.steps == b.steps;
+        return std::tie(a.state, a.finished, a.steps) ==
+               std::tie(b.state, b.finished, b.steps);
     }
 
     friend bool operator!=(const job_progress& a, const job_progress& b)
--- a/include/coltsfootrack/jobs/job_spec.hpp
+++ b/include/coltsfootrack/jobs/job_spec.hpp
@@ -55,6 +55,25 @@
 constexpr int max_tasks_per_step = 10000;
 constexpr int max_repeats = 10000;
 
+// The most tasks of one occurrence, since the leader keeps a record of each
+// until it has ended. Later occurrences of a job begin only while those that
+// have begun and not ended have no more tasks than this together.
+constexpr std::size_t max_open_tasks = 20000;
+
+// The same for the bytes of their stored progress, which has to fit into one
+// row of the store together with the failures of their tasks.
+constexpr std::size_t max_open_progress_bytes = 24000;
+
+// The number of tasks of one occurrence.
+std::size_t tasks_per_occurrence(const job_spec& spec);
+
+// The most bytes that the stored progress of one occurrence takes, without
+// failures.
+std::size_t progress_bytes_per_occurrence(const job_spec& spec);
+
+// How many occurrences may have begun and not ended at a time; at least 1.
+std::size_t max_open_occurrences(const job_spec& spec);
+
 // OK, or invalid_request with the first error: no steps, a negative amount, a
 // dependency on the same or a later step, or a limit above that is exceeded.
 absl::Status check(const job_spec& spec);
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -224,7 +224,17 @@
         jobs::job_submission stored = job;
         const auto& leader = election_.row();
         stored.leader_epoch = leader ? leader->epoch : 0;
-        store_job(id, jobs::encode(stored), false, done);
+        const std::string row = jobs::encode(stored);
+        if (row.size() > options_.max_row_bytes)
+        {
+            done(base::make_error(base::error_kind::invalid_request,
+                                  "the job takes " +
+                                      std::to_string(row.size()) +
+                                      " bytes in the store; the most is " +
+                                      std::to_string(options_.max_row_bytes)));
+            return;
+        }
+        store_job(id, row, false, done);
     };
     if (!loop_.try_post(std::move(event)))
     {
@@ -261,7 +271,8 @@
                     {
                         const bool answered =
                             result.status == transaction_status::committed ||
-                            result.status == transaction_status::conflict;
+                            result.status == transaction_status::conflict ||
+                            result.status == transaction_status::rejected;
                         metrics_.observe_store_time(
                             std::chrono::duration<double>(clock_.now() - now)
                                 .count());
--- a/src/cell/cell_daemon_submit.cpp
+++ b/src/cell/cell_daemon_submit.cpp
@@ -25,6 +25,9 @@
     case write_status::fenced:
         return base::make_error(base::error_kind::store_unavailable,
                                 "the write was not stored");
+    case write_status::rejected:
+        return base::make_error(base::error_kind::invalid_request,
+                                "the store does not take the row");
     case write_status::unknown:
         break;
     }
@@ -60,7 +63,8 @@
             // store is down for the peers as well.
             const bool part_down = store_answered_at_ > sent;
             const bool late = clock_.now() - sent > options_.relay_cutoff;
-            if (result.ok() || relayed || part_down || late)
+            if (result.ok() || relayed || part_down || late ||
+                status == write_status::rejected)
             {
                 done(result);
                 return;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -329,6 +329,13 @@
                 report_lost("the fence of a job part has changed");
                 return;
             }
+            if (status == write_status::rejected)
+            {
+                metrics_.count_event("progress_rejected");
+                fleet_.on_save_rejected(job, clock_.now());
+                request_round();
+                return;
+            }
             fleet_.on_saved(job, change, clock_.now());
             if (const auto state = fleet_.state_of(job);
                 state && jobs::is_final(*state))
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -112,7 +112,8 @@
                    {
                        const bool known =
                            result.status != transaction_status::unknown &&
-                           result.status != transaction_status::refused;
+                           result.status != transaction_status::refused &&
+                           result.status != transaction_status::rejected;
                        hooks_.on_store(known);
                        if (result.status == transaction_status::committed)
                        {
@@ -429,6 +430,15 @@
                     report_lost("the fence of a job part has changed");
                     return;
                 }
+                if (status == write_status::rejected)
+                {
+                    metrics_.count_event("worker_roster_rejected");
+                    base::log(base::log_level::error, log_part,
+                              "The store does not take a row of workers; its "
+                              "new workers are not used. part={}",
+                              layout_.part_names()[part]);
+                    return;
+                }
                 roster_.on_stored(part, change);
                 list_stored_workers();
             });
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -112,8 +112,16 @@
     sent_at_ = now;
     transaction group;
     bool fenced = false;
-    while (!queue_.empty() && batch_.size() < max_batch)
+    const std::size_t most = single_writes_ > 0 ? 1 : max_batch;
+    single_writes_ -= single_writes_ > 0 ? 1 : 0;
+    std::size_t bytes = 0;
+    while (!queue_.empty() && batch_.size() < most)
     {
+        bytes += queue_.front().value.size();
+        if (!batch_.empty() && bytes > max_batch_bytes)
+        {
+            break;
+        }
         pending_write first = std::move(queue_.front());
         queue_.pop_front();
         const auto known = versions_.find(first.row);
@@ -202,6 +210,23 @@
     refuse_queued_inserts();
 }
 
+void row_committer::handle_rejection(std::vector<pending_write>& batch,
+                                     base::time_point now)
+{
+    last_attempt_failed_ = false;
+    if (batch.size() == 1)
+    {
+        complete(batch.front(), write_status::rejected);
+        return;
+    }
+    single_writes_ = batch.size();
+    for (auto it = batch.rbegin(); it != batch.rend(); ++it)
+    {
+        it->due = now;
+        requeue(std::move(*it));
+    }
+}
+
 // Completes the write if the current row decides its result. Returns false if
 // it has to be sent again.
 bool row_committer::resolve_conflict(pending_write& write,
@@ -250,6 +275,9 @@
     case transaction_status::refused:
         handle_failure(batch, now, false);
         return;
+    case transaction_status::rejected:
+        handle_rejection(batch, now);
+        return;
     case transaction_status::unknown:
         handle_failure(batch, now, true);
         return;
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -2,6 +2,7 @@
 // tasks.
 
 #include "candidate.hpp"
+#include "stored_bytes.hpp"
 
 #include <coltsfootrack/fleet/fleet.hpp>
 
@@ -28,6 +29,10 @@
 // come first, and often be late anyway.
 constexpr int at_risk_rank = 1;
 
+// What the failures of the tasks of a job may take in the row of its stored
+// progress, beside jobs::max_open_progress_bytes.
+constexpr std::size_t max_failure_bytes = 36000;
+
 // Estimates are rough. With at least pessimistic_factor times its estimate left
 // a job counts as on time; with less than optimistic_factor times it counts as
 // late.
@@ -51,6 +56,26 @@
     return path - next.spec->estimate * saved / 100;
 }
 
+// How many tasks that have not failed may be started: if all that run fail, the
+// failures must fit into the row. A gang has one entry for all of its tasks.
+std::size_t max_fresh_starts(const job_record& job)
+{
+    std::size_t running = 0;
+    for (const auto& [occurrence, steps] : job.occurrences)
+    {
+        for (const step_record& step : steps)
+        {
+            running += static_cast<std::size_t>(step.active);
+        }
+    }
+    const std::size_t held =
+        job.failure_bytes / (failure_entry_bytes + failure_range_bytes) +
+        running;
+    constexpr std::size_t most =
+        max_failure_bytes / (failure_entry_bytes + failure_range_bytes);
+    return held < most ? most - held : 0;
+}
+
 // The rank of a step whose due time is set. Under overload not all jobs can be
 // on time, so one that will be late anyway yields to those that can still be on
 // time, instead of delaying them too.
@@ -82,10 +107,9 @@
 
 } // namespace
 
-bool fleet::step_ready(const job_record& job, std::size_t occurrence,
-                       const jobs::step_spec& spec) const
+bool fleet::step_ready(const std::vector<step_record>& steps,
+                       const jobs::step_spec& spec)
 {
-    const auto& steps = job.occurrences[occurrence];
     return std::all_of(
         spec.after.begin(), spec.after.end(),
         [&](int earlier)
@@ -97,7 +121,8 @@
 
 // Whether the steps it depends on are running and expected to end while tickets
 // for this one are being decided.
-bool fleet::step_ready_soon(const job_record& job, std::size_t occurrence,
+bool fleet::step_ready_soon(const job_record& job,
+                            const std::vector<step_record>& steps,
                             const jobs::step_spec& spec,
                             const queue_policy& queue,
                             base::time_point now) const
@@ -111,7 +136,6 @@
     const auto ahead =
         std::chrono::duration_cast<base::duration>(queue.tickets->decide_time) +
         lead;
-    const auto& steps = job.occurrences[occurrence];
     for (const int earlier : spec.after)
     {
         const step_record& step = steps[static_cast<std::size_t>(earlier)];
@@ -153,19 +177,20 @@
                            base::time_point now,
                            std::vector<candidate>& found) const
 {
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+    std::size_t fresh_starts = max_fresh_starts(job);
+    for (auto& [k, steps] : job.occurrences)
     {
-        for (std::size_t s = 0; s < job.occurrences[k].size(); ++s)
+        for (std::size_t s = 0; s < steps.size(); ++s)
         {
-            step_record& step = job.occurrences[k][s];
+            step_record& step = steps[s];
             const int total = static_cast<int>(step.tasks.size());
             if (step.done + step.active >= total)
             {
                 continue;
             }
             const jobs::step_spec& spec = spec_of(job, static_cast<int>(s));
-            const bool ready = step_ready(job, k, spec);
-            if (!ready && !step_ready_soon(job, k, spec, *job.queue, now))
+            const bool ready = step_ready(steps, spec);
+            if (!ready && !step_ready_soon(job, steps, spec, *job.queue, now))
             {
                 continue;
             }
@@ -174,10 +199,14 @@
             {
                 const task_record& task =
                     step.tasks[static_cast<std::size_t>(i)];
-                if (!task.done && !task.worker && now >= task.not_before)
+                const bool fresh = task.failures.empty() && !spec.gang;
+                if (task.done || task.worker || now < task.not_before ||
+                    (fresh && fresh_starts == 0))
                 {
-                    next.pending.push_back(i);
+                    continue;
                 }
+                fresh_starts -= fresh ? 1 : 0;
+                next.pending.push_back(i);
             }
             if (spec.gang && ready &&
                 static_cast<int>(next.pending.size()) < total)
@@ -189,7 +218,7 @@
             next.round = &round;
             next.record = &step;
             next.spec = &spec;
-            next.key = {job.id, static_cast<int>(k), static_cast<int>(s)};
+            next.key = {job.id, k, static_cast<int>(s)};
             next.due = job.release_time(k) + job.objective;
             next.rank = rank_of(next, now);
             found.push_back(std::move(next));
--- a/src/fleet/fleet_ends.cpp
+++ b/src/fleet/fleet_ends.cpp
@@ -1,5 +1,7 @@
 // Applies the ends of runs to their jobs.
 
+#include "stored_bytes.hpp"
+
 #include <coltsfootrack/fleet/fleet.hpp>
 
 namespace coltsfootrack::fleet
@@ -16,13 +18,16 @@
     const bool all = spec.gang;
     for (std::size_t i = 0; i < step.tasks.size(); ++i)
     {
-        if ((all || static_cast<int>(i) == key.index) && !step.tasks[i].done)
+        task_record& task = step.tasks[i];
+        if ((all || static_cast<int>(i) == key.index) && !task.done)
         {
-            step.tasks[i].done = true;
+            task.done = true;
+            job.failure_bytes -= stored_bytes(task.failures);
             ++step.done;
             mark_changed(job);
         }
     }
+    finish_occurrence(job, key.step.occurrence);
 }
 
 void fleet::apply_failure(job_record& job, const run_end& end,
@@ -38,10 +43,12 @@
     jobs::task_key counted = end.task;
     counted.index = spec.gang ? 0 : end.task.index;
     task_record& task = *find_task(counted);
+    const std::size_t before = stored_bytes(task.failures);
     if (task.done || !task.failures.insert(end.run).second)
     {
         return;
     }
+    job.failure_bytes += stored_bytes(task.failures) - before;
     mark_changed(job);
     const queue_policy* queue = job.queue;
     if (queue != nullptr &&
--- a/src/fleet/fleet_health.cpp
+++ b/src/fleet/fleet_health.cpp
@@ -60,7 +60,8 @@
     const task_record* record = find_task(task);
     if (record == nullptr)
     {
-        return job != nullptr && job->state == jobs::job_state::completed;
+        return job != nullptr && (job->state == jobs::job_state::completed ||
+                                  job->finished.contains(task.step.occurrence));
     }
     if (record->done)
     {
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -1,9 +1,12 @@
 // Jobs of a fleet: adding, cancelling, finishing and storing them.
 
+#include "stored_bytes.hpp"
+
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace coltsfootrack::fleet
 {
@@ -33,14 +36,14 @@
 step_record* fleet::find_step(const jobs::step_key& key)
 {
     job_record* job = find_job(key.job);
-    if (job == nullptr || key.occurrence < 0 || key.step < 0 ||
-        static_cast<std::size_t>(key.occurrence) >= job->occurrences.size())
+    if (job == nullptr || key.step < 0)
     {
         return nullptr;
     }
-    auto& steps = job->occurrences[static_cast<std::size_t>(key.occurrence)];
-    return static_cast<std::size_t>(key.step) < steps.size()
-               ? &steps[static_cast<std::size_t>(key.step)]
+    const auto steps = job->occurrences.find(key.occurrence);
+    return steps != job->occurrences.end() &&
+                   static_cast<std::size_t>(key.step) < steps->second.size()
+               ? &steps->second[static_cast<std::size_t>(key.step)]
                : nullptr;
 }
 
@@ -128,21 +131,24 @@
     if (job.has_final_state())
     {
         job.started = true;
+        job.retired = true;
         finished_.push_back(id);
         return;
     }
     open_jobs_[id] = &job;
-    job.occurrences.resize(
-        static_cast<std::size_t>(submission.spec.occurrences()));
-    job.started = !progress.steps.empty();
-    for (const auto& [key, stored] : progress.steps)
+    job.started = !progress.steps.empty() || !progress.finished.empty();
+    for (const auto& [first, last] : progress.finished.ranges())
     {
-        const auto& [occurrence, number] = key;
-        if (occurrence < 0 || occurrence >= submission.spec.occurrences())
+        const int end = std::min(last, submission.spec.occurrences() - 1);
+        if (first <= end)
         {
-            continue;
+            job.finished.insert_range(first, end);
         }
-        create_occurrence(job, occurrence);
+    }
+    for (const auto& [key, stored] : progress.steps)
+    {
+        const auto& [occurrence, number] = key;
+        expect_occurrence({id, occurrence, number});
         step_record* step = find_step({id, occurrence, number});
         if (step == nullptr)
         {
@@ -161,9 +167,20 @@
             {
                 task->failures = runs;
                 task->last_run = std::max(task->last_run, *runs.rbegin());
+                job.failure_bytes += task->done ? 0 : stored_bytes(runs);
             }
         }
     }
+    // Former versions stored each finished occurrence with all of its tasks.
+    std::vector<int> open;
+    for (const auto& [occurrence, steps] : job.occurrences)
+    {
+        open.push_back(occurrence);
+    }
+    for (const int occurrence : open)
+    {
+        finish_occurrence(job, occurrence);
+    }
     create_due_occurrences(job, wall);
     const auto cancelled = early_cancels_.find(id);
     if (cancelled != early_cancels_.end())
@@ -189,11 +206,7 @@
 
 void fleet::create_occurrence(job_record& job, int occurrence)
 {
-    auto& steps = job.occurrences[static_cast<std::size_t>(occurrence)];
-    if (!steps.empty())
-    {
-        return;
-    }
+    auto& steps = job.occurrences[occurrence];
     steps.resize(job.submission.spec.steps.size());
     for (std::size_t i = 0; i < steps.size(); ++i)
     {
@@ -202,17 +215,63 @@
     }
 }
 
+// Creates an occurrence that a worker or the stored progress shows to have
+// begun: the daemon that let it begin may have had another clock, or more of
+// the former ones finished. Otherwise its runs would be stopped, and the ends
+// of its tasks dropped.
+void fleet::expect_occurrence(const jobs::step_key& key)
+{
+    job_record* job = find_job(key.job);
+    if (job != nullptr && !job->has_final_state() && key.occurrence >= 0 &&
+        key.occurrence < job->submission.spec.occurrences() &&
+        job->occurrences.count(key.occurrence) == 0 &&
+        !job->finished.contains(key.occurrence))
+    {
+        create_occurrence(*job, key.occurrence);
+    }
+}
+
+// Lets occurrences begin that are due, in their order, while not too many have
+// begun and not finished: the state of those is kept in memory and in one row.
 void fleet::create_due_occurrences(job_record& job, wall_time wall)
 {
     const jobs::job_spec& spec = job.submission.spec;
-    for (int i = 0; i < spec.occurrences(); ++i)
+    const std::size_t most = jobs::max_open_occurrences(spec);
+    for (int& next = job.next_occurrence; next < spec.occurrences(); ++next)
+    {
+        if (job.finished.contains(next) || job.occurrences.count(next) > 0)
+        {
+            continue;
+        }
+        const bool due = !spec.has_schedule() ||
+                         wall >= spec.first_due + next * spec.interval;
+        if (!due || job.occurrences.size() >= most)
+        {
+            return;
+        }
+        create_occurrence(job, next);
+    }
+}
+
+// Frees an occurrence if all of its tasks are done.
+void fleet::finish_occurrence(job_record& job, int occurrence)
+{
+    const auto found = job.occurrences.find(occurrence);
+    if (found == job.occurrences.end())
+    {
+        return;
+    }
+    const std::vector<step_record>& steps = found->second;
+    for (std::size_t i = 0; i < steps.size(); ++i)
     {
-        if (spec.has_schedule() && wall < spec.first_due + i * spec.interval)
+        if (spec_of(job, static_cast<int>(i)).standing ||
+            steps[i].done < static_cast<int>(steps[i].tasks.size()))
         {
             return;
         }
-        create_occurrence(job, i);
     }
+    job.finished.insert(occurrence);
+    job.occurrences.erase(found);
 }
 
 void fleet::cancel_job(const base::job_id& id, base::time_point now)
@@ -268,27 +327,11 @@
 
 void fleet::check_completed(job_record& job, base::time_point now)
 {
-    if (job.has_final_state())
+    if (!job.has_final_state() &&
+        job.finished.size() == job.submission.spec.occurrences())
     {
-        return;
+        finish_job(job, jobs::job_state::completed, now);
     }
-    for (const auto& steps : job.occurrences)
-    {
-        if (steps.empty())
-        {
-            return;
-        }
-        for (std::size_t i = 0; i < steps.size(); ++i)
-        {
-            const auto& spec = job.submission.spec.steps[i];
-            if (spec.standing ||
-                steps[i].done < static_cast<int>(steps[i].tasks.size()))
-            {
-                return;
-            }
-        }
-    }
-    finish_job(job, jobs::job_state::completed, now);
 }
 
 std::string fleet::progress_text(const job_record& job) const
@@ -297,16 +340,16 @@
     value.state = job.state == jobs::job_state::queued && job.started
                       ? jobs::job_state::running
                       : job.state;
-    for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+    value.finished = job.finished;
+    for (const auto& [k, steps] : job.occurrences)
     {
-        const auto& steps = job.occurrences[k];
         for (std::size_t s = 0; s < steps.size(); ++s)
         {
             jobs::step_progress stored;
             for (std::size_t i = 0; i < steps[s].tasks.size(); ++i)
             {
                 const task_record& task = steps[s].tasks[i];
-                if (!task.failures.empty())
+                if (!task.done && !task.failures.empty())
                 {
                     stored.failures[static_cast<int>(i)] = task.failures;
                 }
@@ -314,8 +357,7 @@
             }
             if (steps[s].done > 0 || !stored.failures.empty())
             {
-                value.steps[{static_cast<int>(k), static_cast<int>(s)}] =
-                    std::move(stored);
+                value.steps[{k, static_cast<int>(s)}] = std::move(stored);
             }
         }
     }
@@ -336,14 +378,14 @@
         job->saved_state = job->state;
         if (job->has_final_state())
         {
-            if (!job->occurrences.empty())
+            if (!std::exchange(job->retired, true))
             {
                 job->finished_at = now;
                 finished_.push_back(id);
             }
             // A final job keeps only its state; its steps and tasks are freed.
             job->occurrences.clear();
-            job->occurrences.shrink_to_fit();
+            job->finished = jobs::index_ranges();
             job->submission.spec = jobs::job_spec();
         }
     }
@@ -397,6 +439,20 @@
     }
 }
 
+void fleet::on_save_rejected(const base::job_id& id, base::time_point now)
+{
+    job_record* job = find_job(id);
+    if (job == nullptr || job->has_final_state())
+    {
+        return;
+    }
+    base::log(base::log_level::error, log_part,
+              "Job failed: the store does not take its progress. job={} "
+              "open_occurrences={} failure_bytes={}",
+              id.text(), job->occurrences.size(), job->failure_bytes);
+    finish_job(*job, jobs::job_state::failed, now);
+}
+
 void fleet::order_saves(std::vector<order>& orders)
 {
     for (const auto& [id, ignored] : unsaved_jobs_)
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -86,6 +86,7 @@
 {
     for (const listed_run& listed : report.running)
     {
+        expect_occurrence(listed.task.step);
         auto found = worker.runs.find(listed.task);
         if (found != worker.runs.end() && found->second.run != listed.run &&
             found->second.phase == run_phase::starting &&
@@ -255,11 +256,14 @@
         ordered_at = run->second.ordered_at;
         drop_run(worker, run);
     }
+    expect_occurrence(end.task.step);
     job_record* job = find_job(end.task.step.job);
     task_record* task = find_task(end.task);
     if (job == nullptr || task == nullptr)
     {
-        worker.ends.push_back({end.number, end.task.step.job, 0});
+        // The end of a finished occurrence waits for its progress to be stored.
+        worker.ends.push_back(
+            {end.number, end.task.step.job, job == nullptr ? 0 : job->change});
         return;
     }
     task->last_run = std::max(task->last_run, end.run);
@@ -268,6 +272,8 @@
         task->checkpoint = end.checkpoint;
     }
     const std::uint64_t before = job->change;
+    // The task is gone if its occurrence has finished.
+    std::size_t failures = task->failures.size();
     if (end.kind == end_kind::done)
     {
         note_done(worker);
@@ -279,10 +285,11 @@
         task->avoided_worker = worker.listing.worker;
         note_failure(worker, end.task, ordered_at, now);
         apply_failure(*job, end, now);
+        failures = task->failures.size();
     }
     line.add("{}.{}.{}.{}:{}:{}:{}", end.task.step.job.text(),
              end.task.step.occurrence, end.task.step.step, end.task.index,
-             end.run, name_of(end.kind), task->failures.size());
+             end.run, name_of(end.kind), failures);
     // An end that changes nothing needs no write, but one that repeats a change
     // that is not stored yet is acknowledged only after that change.
     const bool counted =
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -147,17 +147,15 @@
         {
             create_due_occurrences(job, wall);
         }
-        for (std::size_t k = 0; k < job.occurrences.size(); ++k)
+        for (const auto& [k, steps] : job.occurrences)
         {
-            auto& steps = job.occurrences[k];
             for (std::size_t s = 0; s < steps.size(); ++s)
             {
                 if (spec_of(job, static_cast<int>(s)).gang &&
                     steps[s].active > 0)
                 {
-                    stop_broken_gang(
-                        {job.id, static_cast<int>(k), static_cast<int>(s)},
-                        steps[s]);
+                    stop_broken_gang({job.id, k, static_cast<int>(s)},
+                                     steps[s]);
                 }
             }
         }
--- a/src/jobs/job_spec.cpp
+++ b/src/jobs/job_spec.cpp
@@ -41,8 +41,44 @@
     return absl::OkStatus();
 }
 
+// The longest texts of a stored range of finished occurrences, and of a stored
+// step besides its digits: [9999,9999], and [9999,199,10000,"",[]],
+constexpr std::size_t range_bytes = 12;
+constexpr std::size_t step_bytes = 24;
+constexpr std::size_t tasks_per_byte = 4;
+
 } // namespace
 
+std::size_t tasks_per_occurrence(const job_spec& spec)
+{
+    std::size_t tasks = 0;
+    for (const step_spec& step : spec.steps)
+    {
+        tasks += static_cast<std::size_t>(step.tasks);
+    }
+    return tasks;
+}
+
+std::size_t progress_bytes_per_occurrence(const job_spec& spec)
+{
+    std::size_t bytes = range_bytes;
+    for (const step_spec& step : spec.steps)
+    {
+        bytes += step_bytes +
+                 (static_cast<std::size_t>(step.tasks) + tasks_per_byte - 1) /
+                     tasks_per_byte;
+    }
+    return bytes;
+}
+
+std::size_t max_open_occurrences(const job_spec& spec)
+{
+    const std::size_t most =
+        std::min(max_open_tasks / tasks_per_occurrence(spec),
+                 max_open_progress_bytes / progress_bytes_per_occurrence(spec));
+    return std::max<std::size_t>(most, 1);
+}
+
 absl::Status check(const job_spec& spec)
 {
     if (spec.payload.size() > max_payload_bytes)
@@ -68,6 +104,15 @@
             return status;
         }
     }
+    // Every step has at most max_tasks_per_step here, so the sum cannot
+    // overflow.
+    if (tasks_per_occurrence(spec) > max_open_tasks ||
+        progress_bytes_per_occurrence(spec) > max_open_progress_bytes)
+    {
+        return invalid(fmt::format("the steps have {} tasks together; the most "
+                                   "is {}",
+                                   tasks_per_occurrence(spec), max_open_tasks));
+    }
     return absl::OkStatus();
 }
 
--- a/test/cell/row_committer_test.cpp
+++ b/test/cell/row_committer_test.cpp
@@ -6,7 +6,9 @@
 #include <coltsfootrack/base/random_source.hpp>
 #include <coltsfootrack/cell/row_committer.hpp>
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
+#include <map>
 #include <memory>
 #include <optional>
 #include <utility>
@@ -57,10 +59,83 @@
     CPPUNIT_TEST(update_dropped_in_flight_is_not_sent_again);
     CPPUNIT_TEST(update_under_lost_fence_is_fenced);
     CPPUNIT_TEST(update_without_fence_is_fenced);
+    CPPUNIT_TEST(row_that_store_rejects_holds_back_no_other);
+    CPPUNIT_TEST(transaction_stays_within_bytes_of_store);
     CPPUNIT_TEST(random_faults_never_lose_stored_values);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    // Guards against one row that is too long for the store and stops all jobs
+    // of its part, since it was sent again with them for ever.
+    void row_that_store_rejects_holds_back_no_other()
+    {
+        row_committer committer;
+        committer.set_fence(row_condition{fence_row, 1});
+        fake_store store;
+        store.put(fence_row, "1");
+        std::map<std::string, write_status> seen;
+        const auto note = [&seen](const std::string& key)
+        {
+            return [&seen, key](write_status status)
+            {
+                seen[key] = status;
+            };
+        };
+        const std::size_t longest = 100;
+        for (const char* key : {"a", "b", "long", "c"})
+        {
+            const std::string value(key == std::string("long") ? 101 : 9, 'x');
+            committer.update({"progress", "p0", key}, value, true, start,
+                             note(key));
+        }
+        committer.insert({"jobs", "p0", "new"}, "1", start,
+                         start + milliseconds(1000), note("new"));
+        for (int i = 0; i < 20 && !committer.idle(); ++i)
+        {
+            const auto group = committer.next(start);
+            CPPUNIT_ASSERT(group);
+            const bool too_long = std::any_of(
+                group->writes.begin(), group->writes.end(),
+                [&](const row_write& write)
+                { return write.value && write.value->size() > longest; });
+            committer.on_result(too_long ? answer(transaction_status::rejected)
+                                         : store.apply(*group),
+                                start);
+        }
+        CPPUNIT_ASSERT(committer.idle());
+        for (const char* key : {"a", "b", "c", "new"})
+        {
+            CPPUNIT_ASSERT_MESSAGE(key, seen[key] == write_status::stored);
+        }
+        CPPUNIT_ASSERT(seen["long"] == write_status::rejected);
+    }
+
+    // Guards against a transaction of many long rows that is rejected whole.
+    void transaction_stays_within_bytes_of_store()
+    {
+        row_committer committer;
+        committer.set_fence(row_condition{fence_row, 1});
+        constexpr std::size_t row_bytes = 60000;
+        constexpr std::size_t platform_limit = 1000000;
+        std::vector<write_status> seen;
+        for (int i = 0; i < 40; ++i)
+        {
+            committer.update({"progress", "p0", std::to_string(i)},
+                             std::string(row_bytes, 'x'), true, start,
+                             record(seen));
+        }
+        std::size_t written = 0;
+        while (const auto group = committer.next(start))
+        {
+            // Each value is sent as base64.
+            CPPUNIT_ASSERT(group->writes.size() * row_bytes * 4 / 3 <
+                           platform_limit);
+            written += group->writes.size();
+            committer.on_result(answer(transaction_status::committed), start);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(40), written);
+    }
+
     void insert_of_new_row_is_stored()
     {
         row_committer committer;
--- a/test/jobs/stored_rows_test.cpp
+++ b/test/jobs/stored_rows_test.cpp
@@ -68,6 +68,12 @@
 {
     job_progress value;
     value.state = *rc::gen::element(job_state::queued, job_state::running);
+    const int ranges = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < ranges; ++i)
+    {
+        const int first = *rc::gen::inRange(1, 9000);
+        value.finished.insert_range(first, first + *rc::gen::inRange(0, 900));
+    }
     const int steps = *rc::gen::inRange(0, 5);
     for (int i = 0; i < steps; ++i)
     {
@@ -86,6 +92,29 @@
     return value;
 }
 
+// The last occurrences are open, every other one before them has finished, and
+// every other task of an open one is done.
+job_progress longest_progress(const job_spec& spec)
+{
+    const int open = static_cast<int>(max_open_occurrences(spec));
+    job_progress value;
+    value.state = job_state::running;
+    for (int i = 0; i < open; ++i)
+    {
+        const int occurrence = max_repeats - 1 - 2 * i;
+        value.finished.insert(occurrence - 1);
+        for (std::size_t k = 0; k < spec.steps.size(); ++k)
+        {
+            auto& done = value.steps[{occurrence, static_cast<int>(k)}].done;
+            for (int task = 0; task < spec.steps[k].tasks; ++task)
+            {
+                done.push_back(task % 2 == 0);
+            }
+        }
+    }
+    return value;
+}
+
 } // namespace
 
 class stored_rows_test : public CppUnit::TestFixture
@@ -93,6 +122,9 @@
     CPPUNIT_TEST_SUITE(stored_rows_test);
     CPPUNIT_TEST(submission_is_read_back);
     CPPUNIT_TEST(progress_is_read_back);
+    CPPUNIT_TEST(progress_of_former_version_is_read);
+    CPPUNIT_TEST(progress_of_any_accepted_job_fits_into_a_row);
+    CPPUNIT_TEST(job_with_too_many_tasks_is_invalid);
     CPPUNIT_TEST(final_progress_keeps_only_its_state);
     CPPUNIT_TEST(malformed_row_is_an_error);
     CPPUNIT_TEST(critical_path_is_the_longest_chain);
@@ -123,6 +155,58 @@
             }));
     }
 
+    // Guards against tasks that run again after an upgrade.
+    void progress_of_former_version_is_read()
+    {
+        const auto read = decode_progress(
+            R"({"state":"running","steps":[[3,1,"0110",[[0,[2,7]]]]]})");
+        CPPUNIT_ASSERT(read.ok());
+        job_progress wanted;
+        wanted.state = job_state::running;
+        wanted.steps[{3, 1}] = {{false, true, true, false}, {{0, {2, 7}}}};
+        CPPUNIT_ASSERT(*read == wanted);
+    }
+
+    // Guards against an accepted job whose progress the store cannot take: as
+    // many open occurrences as allowed, each with progress that is as long as
+    // can be, and as many failures as let a job start further tasks.
+    void progress_of_any_accepted_job_fits_into_a_row()
+    {
+        for (const int steps : {1, 2, 20, 200})
+        {
+            for (const int tasks : {1, 3, 50, 100, 5000, 10000})
+            {
+                job_spec spec;
+                spec.repeats = max_repeats;
+                spec.steps.resize(static_cast<std::size_t>(steps));
+                for (step_spec& step : spec.steps)
+                {
+                    step.tasks = tasks;
+                }
+                if (!check(spec).ok())
+                {
+                    continue;
+                }
+                const std::size_t bytes = encode(longest_progress(spec)).size();
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(steps) + "x" +
+                                           std::to_string(tasks) + ": " +
+                                           std::to_string(bytes),
+                                       bytes < max_open_progress_bytes + 100);
+            }
+        }
+    }
+
+    void job_with_too_many_tasks_is_invalid()
+    {
+        job_spec spec;
+        spec.steps.resize(2);
+        spec.steps[0].tasks = max_tasks_per_step;
+        spec.steps[1].tasks = max_tasks_per_step;
+        CPPUNIT_ASSERT(check(spec).ok());
+        spec.steps.resize(3);
+        CPPUNIT_ASSERT(!check(spec).ok());
+    }
+
     void final_progress_keeps_only_its_state()
     {
         job_progress value;
--- a/test/platform/names_and_settings_test.cpp
+++ b/test/platform/names_and_settings_test.cpp
@@ -70,6 +70,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{500}, value->processor_milli);
         CPPUNIT_ASSERT(value->longest_lease == std::chrono::seconds(10));
         CPPUNIT_ASSERT_EQUAL(20, value->share_slack);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(65536), value->max_row_bytes);
+        auto with_limits = valid_settings();
+        with_limits["store_limits"] = {{"row_bytes", 1000}};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1000),
+                             parse_settings(with_limits.dump())->max_row_bytes);
+        for (const auto& bad : {nlohmann::json(0), nlohmann::json("many"),
+                                nlohmann::json(std::int64_t(1) << 40)})
+        {
+            with_limits["store_limits"]["row_bytes"] = bad;
+            CPPUNIT_ASSERT(!parse_settings(with_limits.dump()).ok());
+        }
     }
 
     void settings_advertised_peer_is_optional_and_checked()
