Count a job as started only once a worker says so

Cause: the flag that a task has started was set when the start was ordered, and stayed when the worker refused it.

Change: a job has started when a worker confirms a start, lists a run or lists an end of it. Why it works: every refusal leaves the flag as it was, also those of an isolated leader, and an unanswered start counts when it is seen.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -229,6 +229,7 @@
     active_run& add_run(worker_record& worker, const jobs::task_key& task,
                         std::uint64_t run, run_phase phase,
                         base::time_point now);
+    void note_started(const jobs::task_key& task);
     void attach(worker_record& worker, const jobs::task_key& task,
                 active_run& run, task_record& record);
     void account_orphan(worker_record& worker, const jobs::task_key& task,
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -100,7 +100,7 @@
     // Submitted under a former leader or none, so that a former leader may have
     // started its tasks.
     bool inherited = false;
-    // A task has started.
+    // A task has started, as a worker or the stored progress shows.
     bool started = false;
     // Counts the changes of the progress; the last one whose save was ordered,
     // and the last one stored.
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -146,6 +146,7 @@
         {
             run.phase = run_phase::running;
             run.known_at = now;
+            note_started(listed.task);
         }
         if (run.percent != listed.percent)
         {
@@ -266,6 +267,7 @@
             {end.number, end.task.step.job, job == nullptr ? 0 : job->change});
         return;
     }
+    job->started = true;
     task->last_run = std::max(task->last_run, end.run);
     if (!end.checkpoint.empty())
     {
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -20,6 +20,16 @@
     return added;
 }
 
+// A worker has confirmed or listed a run. An order alone is no evidence: the
+// worker may refuse it, and its job then still waits.
+void fleet::note_started(const jobs::task_key& task)
+{
+    if (job_record* job = find_job(task.step.job))
+    {
+        job->started = true;
+    }
+}
+
 void fleet::attach(worker_record& worker, const jobs::task_key& task,
                    active_run& run, task_record& record)
 {
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -207,7 +207,6 @@
     active_run& added = add_run(worker, key, run, run_phase::starting, now);
     added.start_pending = true;
     attach(worker, key, added, task);
-    next.job->started = true;
     start_order start;
     start.worker = worker.listing.worker;
     start.task = key;
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -229,6 +229,7 @@
     const bool pending = std::exchange(active->second.start_pending, false);
     if (outcome == order_outcome::carried_out)
     {
+        note_started(task);
         if (active->second.phase == run_phase::starting)
         {
             active->second.phase = run_phase::running;
