Judge a stalled run by its own pace and its estimate

Cause: a run was stalled when its whole percent had not moved for 2.5 s, and one stalled run quarantined its worker.

Evidence: 'Stopping a stalled run ... percent=0' 2.5 s after each start.

Change: a run may list the same percent for eight times as long as a percent of it has taken, or should take by its estimate, at least 2.5 s; each time its task was stopped for it, twice as long. A worker is quarantined when runs of two jobs have stalled there without progress of any run between them.

--- a/include/coltsfootrack/fleet/active_run.hpp
+++ b/include/coltsfootrack/fleet/active_run.hpp
@@ -65,6 +65,8 @@
     int missing_reports = 0;
     int percent = 0;
     base::time_point progress_at;
+    // The longest time that a percent has taken; zero before the first.
+    base::duration slowest_percent{0};
     double load = 0;
     // The speed it is limited to, in percent of full speed.
     int pace = 100;
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -271,6 +271,10 @@
     void order_saves(std::vector<order>& orders);
     void order_pacing(base::time_point now, std::vector<order>& orders);
     void stop_stalled(base::time_point now);
+    base::duration stall_limit(const active_run& run,
+                               const jobs::task_key& key);
+    static void note_progress(worker_record& worker, active_run& run,
+                              int percent, base::time_point now);
     void stop_broken_gang(const jobs::step_key& key, const step_record& step);
 
     // Waiting steps.
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -80,8 +80,11 @@
     double max_quarantined_fraction = 0.5;
     // A worker that refused an order gets no tasks for this time.
     milliseconds refusal_backoff{500};
-    // A task without progress for this long is stopped and started elsewhere.
+    // A run that lists the same percent for this long, and for as long as
+    // stall_percents of it should take, is stopped and started elsewhere. Each
+    // time, the task is then given twice as long.
     milliseconds stall_timeout{2500};
+    int stall_percents = 8;
     // The most workers of a service that are reserved for waiting steps.
     double max_reserved_fraction = 0.25;
 };
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -57,6 +57,8 @@
     int checkpoint_percent = 0;
     // Not started before this time.
     base::time_point not_before;
+    // How often a run of it was stopped for its lack of progress.
+    int stalls = 0;
     // Where it failed or stalled last.
     std::optional<base::worker_id> avoided_worker;
 };
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace coltsfootrack::fleet
@@ -92,6 +93,8 @@
     int quarantines = 0;
     base::time_point quarantined_at;
     std::size_t quarantine_evidence = 0;
+    // The jobs of which a run has stalled here since any run made progress.
+    std::set<base::job_id> stalled_jobs;
     // Gets no tasks until then, unless too many workers of its service are
     // quarantined; and after it refused an order.
     base::time_point quarantined_until;
--- a/src/fleet/fleet_health.cpp
+++ b/src/fleet/fleet_health.cpp
@@ -9,6 +9,12 @@
 //
 // Load it answers: a burst of jobs that can never be done, beside workers that
 // fail all they start.
+//
+// A run without progress has the same two causes. Long tasks list a new percent
+// rarely, so a run is stalled only after several times as long as a percent of
+// it should take, and each further time the task is given twice as long. The
+// worker is to blame only if tasks of several jobs stand still there, and none
+// moves.
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
@@ -25,6 +31,13 @@
 
 constexpr std::string_view log_part = "fleet";
 
+// How often stalled runs are looked for: it visits every run of the cell, and a
+// run counts as stalled only after seconds.
+constexpr std::chrono::milliseconds stall_check_period{100};
+
+// The progress of a run is listed in whole percent.
+constexpr int percents = 100;
+
 } // namespace
 
 void fleet::note_done(worker_record& worker) const
@@ -176,4 +189,92 @@
     }
 }
 
+// How long a run may list the same percent. Its own pace, once it is known,
+// goes before the estimate of its step.
+base::duration fleet::stall_limit(const active_run& run,
+                                  const jobs::task_key& key)
+{
+    const job_record* job = find_job(key.step.job);
+    const task_record* task = find_task(key);
+    base::duration percent = run.slowest_percent;
+    if (percent == base::duration(0) && job != nullptr && task != nullptr)
+    {
+        percent = spec_of(*job, key.step.step).estimate / percents;
+    }
+    const base::duration limit = std::max<base::duration>(
+        options_.stall_timeout, options_.stall_percents * percent);
+    constexpr int most_doublings = 10;
+    const int stalls = task == nullptr ? 0 : task->stalls;
+    return limit * (1 << std::min(stalls, most_doublings));
+}
+
+void fleet::note_progress(worker_record& worker, active_run& run, int percent,
+                          base::time_point now)
+{
+    if (percent > run.percent)
+    {
+        run.slowest_percent = std::max<base::duration>(
+            run.slowest_percent,
+            (now - run.progress_at) / (percent - run.percent));
+    }
+    run.percent = percent;
+    run.progress_at = now;
+    worker.stalled_jobs.clear();
+}
+
+void fleet::stop_stalled(base::time_point now)
+{
+    if (now - stalls_checked_at_ < stall_check_period)
+    {
+        return;
+    }
+    stalls_checked_at_ = now;
+    for (auto& [id, worker] : workers_)
+    {
+        if (worker.unresponsive)
+        {
+            continue;
+        }
+        for (auto& [key, run] : worker.runs)
+        {
+            if (run.phase != run_phase::running || run.standing ||
+                run.uses_leftover || run.orphaned ||
+                now - run.progress_at < options_.stall_timeout ||
+                now - run.progress_at < stall_limit(run, key))
+            {
+                continue;
+            }
+            task_record* task = find_task(key);
+            base::log(base::log_level::warning, log_part,
+                      "Stopping a stalled run. job={} occurrence={} step={} "
+                      "task={} run={} worker={} percent={} stalled_ms={} "
+                      "stalls={}",
+                      key.step.job.text(), key.step.occurrence, key.step.step,
+                      key.index, run.run, id.text(), run.percent,
+                      std::chrono::duration_cast<std::chrono::milliseconds>(
+                          now - run.progress_at)
+                          .count(),
+                      task == nullptr ? 0 : task->stalls);
+            request_stop(worker, run);
+            if (task != nullptr)
+            {
+                task->avoided_worker = id;
+                ++task->stalls;
+            }
+            worker.stalled_jobs.insert(key.step.job);
+        }
+        if (static_cast<int>(worker.stalled_jobs.size()) >=
+            options_.quarantine_jobs)
+        {
+            worker.stalled_jobs.clear();
+            worker.quarantined_until =
+                std::max(worker.quarantined_until, now + options_.quarantine);
+            base::log(base::log_level::warning, log_part,
+                      "Worker quarantined: tasks of several jobs stand still. "
+                      "worker={}",
+                      id.text());
+        }
+    }
+}
+
 } // namespace coltsfootrack::fleet
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -150,8 +150,7 @@
         }
         if (run.percent != listed.percent)
         {
-            run.percent = listed.percent;
-            run.progress_at = now;
+            note_progress(worker, run, listed.percent, now);
         }
         run.load = listed.load;
         run.checkpoint = listed.checkpoint;
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -19,10 +19,6 @@
 // is a multiple of the time that the platform takes to end a run.
 constexpr std::chrono::milliseconds stop_effect_timeout{2000};
 
-// How often stalled runs are looked for: it visits every run of the cell, and a
-// run counts as stalled only after seconds.
-constexpr std::chrono::milliseconds stall_check_period{100};
-
 // The throttling of tasks on leftover capacity changes at most this often,
 // since workers report the mean load over half a second.
 constexpr std::chrono::milliseconds pace_period{400};
@@ -191,45 +187,6 @@
     }
 }
 
-void fleet::stop_stalled(base::time_point now)
-{
-    if (now - stalls_checked_at_ < stall_check_period)
-    {
-        return;
-    }
-    stalls_checked_at_ = now;
-    for (auto& [id, worker] : workers_)
-    {
-        if (worker.unresponsive)
-        {
-            continue;
-        }
-        for (auto& [key, run] : worker.runs)
-        {
-            if (run.phase != run_phase::running || run.standing ||
-                run.uses_leftover || run.orphaned ||
-                now - run.progress_at < options_.stall_timeout)
-            {
-                continue;
-            }
-            base::log(base::log_level::warning, log_part,
-                      "Stopping a stalled run. job={} occurrence={} "
-                      "step={} task={} "
-                      "run={} worker={} percent={}",
-                      key.step.job.text(), key.step.occurrence, key.step.step,
-                      key.index, run.run, id.text(), run.percent);
-            request_stop(worker, run);
-            task_record* task = find_task(key);
-            if (task != nullptr)
-            {
-                task->avoided_worker = id;
-            }
-            worker.quarantined_until =
-                std::max(worker.quarantined_until, now + options_.quarantine);
-        }
-    }
-}
-
 void fleet::order_stops(base::time_point now, std::vector<order>& orders)
 {
     for (auto& [id, worker] : workers_)
