--- a/src/fleet/fleet_health.cpp
+++ b/src/fleet/fleet_health.cpp
@@ -129,7 +129,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(length).count());
 }
 
-// Ends a quarantine for failures that have turned out to be those of jobs.
+// Ends a quarantine whose failures are those of jobs that fail elsewhere too.
 void fleet::end_unfounded_quarantine(worker_record& worker,
                                      base::time_point now)
 {
