Count leases that calls for a former life of a worker grant

Cause: a lease ends at a time on the worker's clock. The leader took the longest lease of a worker for the 5 s that it grants. A start or renewal that was made for the former life of a worker reaches the new one, whose clock differs; the end that it names lies far ahead there, and the worker shortens it only to its own longest lease, 10 s on this site, counted from the arrival of the call. After the cut the leader took the lease for expired 5 s after its last renewal and dropped the runs. The same holds for a start without an answer, which may have reached a life that the leader never heard of, and for a new leader that assumes the leases of the former one.

Change: the longest lease is that of the platform's settings. After a restart the lease of the new life counts until calls with a lease for the former one have arrived and the longest lease after that has passed; a worker that does not answer keeps the runs whose start has no known outcome as long. A new leader waits for the longest lease, after the time in which calls of its predecessor may still arrive.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -239,6 +239,7 @@
                                     const worker_report& report,
                                     base::time_point now);
     void drop_all_runs(worker_record& worker);
+    void drop_lost_runs(worker_record& worker, bool lost_in_any_life);
     void process_running(worker_record& worker, const worker_report& report,
                          base::time_point now);
     bool process_ended(worker_record& worker, const worker_report& report,
@@ -264,6 +265,8 @@
 
     // Parts of a round.
     bool is_lost(const worker_record& worker) const;
+    bool is_lost_in_any_life(const worker_record& worker) const;
+    base::duration unconfirmed_loss_delay(const worker_record& worker) const;
     void update_workers(base::time_point now);
     void retry_stops(worker_record& worker, base::time_point now);
     void update_jobs(base::time_point now, wall_time wall);
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -23,8 +23,14 @@
     // The lease of each renewal: long enough to survive a leader change, short
     // enough that work of a lost worker restarts soon.
     milliseconds lease{5000};
-    // The longest lease that any leader may have granted.
-    milliseconds longest_lease{5000};
+    // The longest lease that a worker takes; it shortens longer ones. A call
+    // that was meant for its former life can grant this much.
+    milliseconds longest_lease{10000};
+    // The longest time from a grant until the call that carries it reaches the
+    // worker: as long as it may wait here and at a peer, and its timeout.
+    milliseconds lease_delivery{1550};
+    // How much later a worker may carry out an order that it did not answer.
+    milliseconds late_order{12000};
 
     // A team may submit its share of this window plus share_burst_jobs jobs as
     // a burst; the platform sets both. Jobs beyond that wait behind all others.
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -27,6 +27,14 @@
     std::uint64_t change = 0;
 };
 
+// Consecutive renewals of a worker that were not answered.
+struct unanswered_renewals
+{
+    int count = 0;
+    // Those that a daemon in the worker's zone confirmed.
+    int confirmed = 0;
+};
+
 // What the fleet knows of one worker.
 struct worker_record
 {
@@ -44,12 +52,10 @@
     // The last renewal was not answered, or another worker answered at its
     // address.
     bool unresponsive = false;
-    // Consecutive unanswered renewals that were sent after its lease had
-    // certainly expired.
-    int unanswered_after_lease = 0;
-    // Those of them that a daemon in the worker's zone confirmed, and when the
-    // last one was sent.
-    int confirmed_after_lease = 0;
+    // Those that were sent after its lease had certainly expired, and after any
+    // lease of a later life had; and when the last one was sent.
+    unanswered_renewals unanswered_after_lease;
+    unanswered_renewals unanswered_after_later_lease;
     base::time_point last_unanswered_at;
     // The last renewal was not answered, which a daemon in the worker's zone
     // confirmed.
--- a/src/fleet/fleet_reports.cpp
+++ b/src/fleet/fleet_reports.cpp
@@ -35,11 +35,18 @@
     worker.replaced = false;
     if (worker.reports > 0 && worker.life != report.life)
     {
-        base::log(base::log_level::warning, log_part,
-                  "Worker was restarted. worker={} life={} runs_lost={}",
-                  id.text(), report.life, worker.runs.size());
+        const std::size_t runs = worker.runs.size();
         drop_runs_of_previous_life(worker, report, now);
-        worker.lease.reset();
+        // What is left are starts whose outcome is not known.
+        worker.lease.restart(report.clock, report.sent_at, now,
+                             worker.runs.empty() ? std::chrono::milliseconds(0)
+                                                 : options_.late_order);
+        base::log(base::log_level::warning, log_part,
+                  "Worker was restarted. worker={} life={} runs_lost={} "
+                  "starts_unknown={} clock_ms={} lease_end_ms={}",
+                  id.text(), report.life, runs - worker.runs.size(),
+                  worker.runs.size(), report.clock.count(),
+                  worker.lease.granted().value_or(report.clock).count());
         worker.ends.clear();
         worker.ends_seen = 0;
         worker.ends_durable = 0;
@@ -66,8 +73,8 @@
     {
         worker.restart_seen_at.reset();
     }
-    worker.unanswered_after_lease = 0;
-    worker.confirmed_after_lease = 0;
+    worker.unanswered_after_lease = unanswered_renewals();
+    worker.unanswered_after_later_lease = unanswered_renewals();
     worker.silence_confirmed = false;
     ++worker.reports;
     worker.lease.note_clock(report.clock, now);
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -66,15 +66,33 @@
     {
         return true;
     }
-    if (worker.unanswered_after_lease < options_.max_unanswered_renewals)
+    const unanswered_renewals& silence = worker.unanswered_after_lease;
+    return silence.count >= options_.max_unanswered_renewals &&
+           (silence.confirmed >= options_.max_unanswered_renewals ||
+            worker.lease.expired(worker.last_unanswered_at -
+                                     unconfirmed_loss_delay(worker),
+                                 leader_since_));
+}
+
+// The same for lives of the worker that this leader has not heard of.
+bool fleet::is_lost_in_any_life(const worker_record& worker) const
+{
+    if (worker.replaced)
     {
-        return false;
+        return true;
     }
-    const auto delay = worker.listed ? options_.listed_loss_delay
-                                     : options_.unconfirmed_loss_delay;
-    return worker.confirmed_after_lease >= options_.max_unanswered_renewals ||
-           worker.lease.expired(worker.last_unanswered_at - delay,
-                                leader_since_);
+    const unanswered_renewals& silence = worker.unanswered_after_later_lease;
+    return is_lost(worker) &&
+           silence.count >= options_.max_unanswered_renewals &&
+           (silence.confirmed >= options_.max_unanswered_renewals ||
+            worker.lease.expired_in_later_life(worker.last_unanswered_at -
+                                               unconfirmed_loss_delay(worker)));
+}
+
+base::duration fleet::unconfirmed_loss_delay(const worker_record& worker) const
+{
+    return worker.listed ? options_.listed_loss_delay
+                         : options_.unconfirmed_loss_delay;
 }
 
 void fleet::update_workers(base::time_point now)
@@ -85,18 +103,9 @@
         const bool lost = is_lost(worker);
         if (lost && !worker.runs.empty())
         {
-            base::log(
-                base::log_level::warning, log_part,
-                "Runs of a lost worker dropped. worker={} runs={} "
-                "confirmed={} listed={} unanswered={} clock_ms={} "
-                "lease_end_ms={}",
-                it->first.text(), worker.runs.size(),
-                worker.confirmed_after_lease, worker.listed,
-                worker.unanswered_after_lease, worker.report_clock.count(),
-                worker.lease.granted().value_or(worker.report_clock).count());
-            drop_all_runs(worker);
-        }
-        if (lost && !worker.listed)
+            drop_lost_runs(worker, is_lost_in_any_life(worker));
+        }
+        if (lost && !worker.listed && worker.runs.empty())
         {
             workers_by_number_[static_cast<std::size_t>(worker.number)] =
                 nullptr;
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -1,11 +1,19 @@
 // Runs of a fleet, and what they use of workers and of the limits of teams.
 
+#include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 namespace coltsfootrack::fleet
 {
+namespace
+{
+
+constexpr std::string_view log_part = "fleet";
+
+} // namespace
 
 active_run& fleet::add_run(worker_record& worker, const jobs::task_key& task,
                            std::uint64_t run, run_phase phase,
@@ -123,6 +131,33 @@
     }
 }
 
+// Drops the runs of a lost worker. A start without a known outcome may have
+// reached a later life of it, and an answer of that life may have confirmed it.
+void fleet::drop_lost_runs(worker_record& worker, bool lost_in_any_life)
+{
+    const std::size_t before = worker.runs.size();
+    for (auto it = worker.runs.begin(); it != worker.runs.end();)
+    {
+        const active_run& run = it->second;
+        const bool kept =
+            !lost_in_any_life && (worker.restart_seen_at || run.start_pending ||
+                                  run.start_uncertain);
+        it = kept ? std::next(it) : drop_run(worker, it);
+    }
+    if (worker.runs.size() == before)
+    {
+        return;
+    }
+    base::log(base::log_level::warning, log_part,
+              "Runs of a lost worker dropped. worker={} runs={} kept={} "
+              "confirmed={} listed={} unanswered={} clock_ms={} "
+              "lease_end_ms={}",
+              worker.listing.worker.text(), before, worker.runs.size(),
+              worker.unanswered_after_lease.confirmed, worker.listed,
+              worker.unanswered_after_lease.count, worker.report_clock.count(),
+              worker.lease.granted().value_or(worker.report_clock).count());
+}
+
 // Drops the runs of the previous life of a worker. A start that was not
 // confirmed before the renewal was sent may have reached the new life after it
 // made the report.
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -21,8 +21,9 @@
     const auto found = workers_.find(listing.worker);
     if (found == workers_.end())
     {
-        worker_record added(
-            listing, worker_lease(options_.lease, options_.longest_lease));
+        worker_record added(listing,
+                            worker_lease(options_.lease, options_.longest_lease,
+                                         options_.lease_delivery));
         added.number = static_cast<int>(workers_by_number_.size());
         const auto placed =
             workers_.emplace(listing.worker, std::move(added)).first;
@@ -168,10 +169,18 @@
                   "listed={}",
                   id.text(), worker.runs.size(), confirmed, worker.listed);
     }
+    const auto note = [confirmed](unanswered_renewals& renewals)
+    {
+        ++renewals.count;
+        renewals.confirmed += confirmed ? 1 : 0;
+    };
     if (worker.lease.expired(sent, leader_since_))
     {
-        ++worker.unanswered_after_lease;
-        worker.confirmed_after_lease += confirmed ? 1 : 0;
+        note(worker.unanswered_after_lease);
+        if (worker.lease.expired_in_later_life(sent))
+        {
+            note(worker.unanswered_after_later_lease);
+        }
         worker.last_unanswered_at = sent;
     }
     worker.silence_confirmed = confirmed;
--- a/src/fleet/worker_lease.cpp
+++ b/src/fleet/worker_lease.cpp
@@ -30,9 +30,11 @@
 
 } // namespace
 
-worker_lease::worker_lease(milliseconds length, milliseconds longest)
+worker_lease::worker_lease(milliseconds length, milliseconds longest,
+                           milliseconds delivery)
     : length_(std::min(length, longest))
     , longest_(longest)
+    , delivery_(delivery)
 {
 }
 
@@ -61,10 +63,21 @@
     return clock + clock_granularity >= clock_ + advanced;
 }
 
-void worker_lease::reset()
+void worker_lease::restart(milliseconds clock, base::time_point sent,
+                           base::time_point now, milliseconds late)
 {
-    known_ = false;
-    granted_.reset();
+    // The worker read its clock after `sent`. A former leader may have granted
+    // a lease until then, if this one did not.
+    const std::chrono::duration<double, std::milli> last_arrival =
+        last_grant_at_ ? *last_grant_at_ + delivery_ + late - sent
+                       : base::duration::zero();
+    granted_ = clock + longest_ +
+               std::chrono::duration_cast<milliseconds>(
+                   last_arrival.count() > 0 ? last_arrival
+                                            : last_arrival * min_clock_rate);
+    known_ = true;
+    clock_ = clock;
+    clock_at_ = now;
 }
 
 std::optional<worker_lease::milliseconds>
@@ -78,6 +91,7 @@
         std::chrono::duration_cast<milliseconds>(now - clock_at_);
     const milliseconds end = clock_ + passed + length_;
     granted_ = std::max(granted_.value_or(end), end);
+    last_grant_at_ = now;
     return end;
 }
 
@@ -85,10 +99,16 @@
 {
     if (!known_)
     {
-        return now >= since + longest_leader_time(longest_);
+        return now >= since + delivery_ + longest_leader_time(longest_);
     }
     return !granted_ ||
            now >= clock_at_ + longest_leader_time(*granted_ - clock_);
 }
 
+bool worker_lease::expired_in_later_life(base::time_point now) const
+{
+    return !last_grant_at_ ||
+           now >= *last_grant_at_ + delivery_ + longest_leader_time(longest_);
+}
+
 } // namespace coltsfootrack::fleet
--- a/test/simulation/cell_simulation.hpp
+++ b/test/simulation/cell_simulation.hpp
@@ -25,6 +25,8 @@
     int workers = 8;
     // How long faults are injected and jobs submitted.
     std::chrono::seconds length{30};
+    // How long jobs may take after the last fault.
+    std::chrono::seconds finish_limit{60};
     // The longest task, and the longest time between two jobs.
     std::chrono::milliseconds longest_task{1500};
     std::chrono::milliseconds longest_job_interval{250};
@@ -35,6 +37,12 @@
     std::chrono::milliseconds longest_partition{0};
     // Whether the VM of a daemon is lost for good, and later the store is away.
     bool lose_vm_before_outage = false;
+    // Whether workers restart under their ids and are cut off from everything
+    // soon after, again and again.
+    bool cut_after_restart = false;
+    // Whether the clock of each life of a worker starts at another time, not at
+    // zero.
+    bool any_first_clock = false;
     // Whether what happens is kept as text.
     bool keep_history = false;
 };
@@ -47,6 +55,10 @@
 // to 55 s.
 simulation_options lost_vm_scenario(std::uint64_t seed);
 
+// Long tasks, and workers that restart under their ids and are cut off soon
+// after, some of them with the leader's process killed in between.
+simulation_options recut_scenario(std::uint64_t seed);
+
 // A cell of daemons, a store, workers and callers in one thread and in virtual
 // time. Every choice is drawn from the seed, so the same seed gives the same
 // history.
@@ -175,6 +187,9 @@
     // Faults.
     void inject_fault();
     void inject_partition();
+    void inject_restart_and_cut();
+    milliseconds first_clock_of(const std::string& worker,
+                                std::uint64_t life) const;
     void heal_partition();
     bool is_cut(const base::zone_id& a, const base::zone_id& b) const;
     bool reaches_store(const base::zone_id& zone) const;
--- a/test/simulation/simulation_test.cpp
+++ b/test/simulation/simulation_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(fixed_seeds_break_no_rule);
     CPPUNIT_TEST(zones_cut_apart_break_no_rule);
     CPPUNIT_TEST(vm_lost_for_good_costs_no_run_while_store_is_away);
+    CPPUNIT_TEST(workers_cut_off_after_restart_break_no_rule);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +95,17 @@
         }
     }
 
+    // Guards against two runs of one task: a call that was meant for the former
+    // life of a worker grants its new life the longest lease, under which it
+    // runs on while it is cut off.
+    void workers_cut_off_after_restart_break_no_rule()
+    {
+        for (std::uint64_t seed = 1; seed <= 40; ++seed)
+        {
+            check(recut_scenario(seed), 50);
+        }
+    }
+
 private:
     static void check(std::uint64_t seed)
     {
