--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -3,7 +3,6 @@
 
 #include "candidate.hpp"
 
-#include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
 
 #include <algorithm>
@@ -13,8 +12,6 @@
 namespace
 {
 
-constexpr std::string_view log_part = "fleet";
-
 // A confirmed stop is retried if the run is still listed after this time, which
 // is a multiple of the time that the platform takes to end a run.
 constexpr std::chrono::milliseconds stop_effect_timeout{2000};
