Carry out orders late in the scenario of workers cut off after a restart

The scenario had no orders that a worker holds for seconds, which extend a lease of a former life as well. Half of its restarts now come with late orders for 4 s.

--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -955,6 +955,11 @@
         lost_answers_percent_ = 30;
         time_.after(milliseconds(3000), [this] { lost_answers_percent_ = 0; });
     }
+    if (time_.chance(50))
+    {
+        late_orders_percent_ = 40;
+        time_.after(milliseconds(4000), [this] { late_orders_percent_ = 0; });
+    }
     for (auto& [id, worker] : workers_)
     {
         if (!time_.chance(50))
