Share the scenarios of long tasks, and say which lives are meant

Three scenarios of the simulation repeated the same options; they share a function now. Comments and one test name speak of lives that have not answered the leader.

--- a/include/coltsfootrack/fleet/worker_lease.hpp
+++ b/include/coltsfootrack/fleet/worker_lease.hpp
@@ -59,8 +59,8 @@
     // `since` is when this leader fenced off the former ones.
     bool expired(base::time_point now, base::time_point since) const;
 
-    // Whether the same holds for a later life, of which this leader has not
-    // heard.
+    // Whether the same holds for a later life that has not answered this leader
+    // yet.
     bool expired_in_later_life(base::time_point now) const;
 
     // The latest end granted, on the worker's clock.
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -71,7 +71,7 @@
                                  leader_since_));
 }
 
-// The same for lives of the worker that this leader has not heard of.
+// The same for lives of the worker that have not answered this leader yet.
 bool fleet::is_lost_in_any_life(const worker_record& worker) const
 {
     if (worker.replaced)
--- a/test/fleet/former_life_lease_test.cpp
+++ b/test/fleet/former_life_lease_test.cpp
@@ -49,7 +49,7 @@
 {
     CPPUNIT_TEST_SUITE(former_life_lease_test);
     CPPUNIT_TEST(run_under_lease_of_former_life_is_not_started_again);
-    CPPUNIT_TEST(unanswered_start_may_run_in_a_life_not_heard_of);
+    CPPUNIT_TEST(unanswered_start_may_run_in_a_life_without_answer);
     CPPUNIT_TEST(start_confirmed_by_a_later_life_may_run_there);
     CPPUNIT_TEST(late_order_extends_lease_of_former_life);
     CPPUNIT_TEST(new_leader_waits_for_longest_lease_of_silent_worker);
@@ -80,7 +80,7 @@
 
     // The worker may have restarted, taken the start, and been cut off. What it
     // has confirmed before ran in the former life.
-    void unanswered_start_may_run_in_a_life_not_heard_of()
+    void unanswered_start_may_run_in_a_life_without_answer()
     {
         two_workers f;
         f.add_ready_worker("w", 4000);
--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -37,40 +37,42 @@
 // The client tries this often, as the platform's clients do.
 constexpr int client_tries = 5;
 
-} // namespace
-
-simulation_options partition_scenario(std::uint64_t seed)
+// 60 s without random faults.
+simulation_options long_task_scenario(std::uint64_t seed,
+                                      milliseconds longest_task,
+                                      milliseconds longest_job_interval)
 {
     simulation_options made;
     made.seed = seed;
     made.length = std::chrono::seconds(60);
-    made.longest_task = milliseconds(8000);
-    made.longest_job_interval = milliseconds(2000);
-    made.longest_partition = milliseconds(40000);
+    made.longest_task = longest_task;
+    made.longest_job_interval = longest_job_interval;
     made.faults = false;
     return made;
 }
 
+} // namespace
+
+simulation_options partition_scenario(std::uint64_t seed)
+{
+    simulation_options made =
+        long_task_scenario(seed, milliseconds(8000), milliseconds(2000));
+    made.longest_partition = milliseconds(40000);
+    return made;
+}
+
 simulation_options lost_vm_scenario(std::uint64_t seed)
 {
-    simulation_options made;
-    made.seed = seed;
-    made.length = std::chrono::seconds(60);
-    made.longest_task = milliseconds(20000);
-    made.longest_job_interval = milliseconds(4000);
-    made.faults = false;
+    simulation_options made =
+        long_task_scenario(seed, milliseconds(20000), milliseconds(4000));
     made.lose_vm_before_outage = true;
     return made;
 }
 
 simulation_options recut_scenario(std::uint64_t seed)
 {
-    simulation_options made;
-    made.seed = seed;
-    made.length = std::chrono::seconds(60);
-    made.longest_task = milliseconds(20000);
-    made.longest_job_interval = milliseconds(4000);
-    made.faults = false;
+    simulation_options made =
+        long_task_scenario(seed, milliseconds(20000), milliseconds(4000));
     // Two steps, each with as many attempts as are allowed.
     made.finish_limit = std::chrono::seconds(150);
     made.cut_after_restart = true;
