Wait the usual lease for workers that announced their departure

Cause: since leases of a former life are counted, a new leader waits 9 s instead of 6.7 s for each stored worker that does not answer before it starts inherited jobs. Workers that leave are among them: the former leader, cut off from the store, could not remove them.

Change: the stored entry of a worker says whether it is leaving. Such a worker ends and does not restart under its id, so its leases are those that were granted to it. Rows of former versions are read; former versions read the new rows.

Tests: new_leader_waits_for_usual_lease_of_leaving_worker and worker_leaving_is_stored_and_read_back are new. worker_known_needs_no_write asserted that a departure needs no write; that part is replaced by the second of them.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -264,6 +264,8 @@
     void clear_stop(worker_record& worker, active_run& run);
 
     // Parts of a round.
+    bool lease_expired(const worker_record& worker,
+                       base::time_point time) const;
     bool is_lost(const worker_record& worker) const;
     bool is_lost_in_any_life(const worker_record& worker) const;
     base::duration unconfirmed_loss_delay(const worker_record& worker) const;
--- a/include/coltsfootrack/fleet/worker_lease.hpp
+++ b/include/coltsfootrack/fleet/worker_lease.hpp
@@ -56,8 +56,10 @@
 
     // Whether no lease granted by this leader or a former one can be in force
     // any more in the known life of the worker, or in any if none is known.
-    // `since` is when this leader fenced off the former ones.
-    bool expired(base::time_point now, base::time_point since) const;
+    // `since` is when this leader fenced off the former ones. Without
+    // `restarts` the worker is in the life for which they granted it leases.
+    bool expired(base::time_point now, base::time_point since,
+                 bool restarts = true) const;
 
     // Whether the same holds for a later life that has not answered this leader
     // yet.
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -15,21 +15,23 @@
 
 using nlohmann::json;
 
-// One entry of a row: worker, service, zone, address, and the capacity in
-// thousandths of a core, MB and accelerators.
+// One entry of a row: worker, service, zone, address, the capacity in
+// thousandths of a core, MB and accelerators, and whether it is leaving, which
+// rows of former versions lack.
 json to_json(const fleet::worker_listing& worker)
 {
     return json::array({worker.worker.text(), worker.service.text(),
                         worker.zone.text(), worker.address,
                         worker.capacity.cpu_milli, worker.capacity.memory_mb,
-                        worker.capacity.accelerators});
+                        worker.capacity.accelerators, worker.leaving});
 }
 
 // Whether two workers have the same entry in a row.
 bool same_entry(const fleet::worker_listing& a, const fleet::worker_listing& b)
 {
     return a.worker == b.worker && a.service == b.service && a.zone == b.zone &&
-           a.address == b.address && a.capacity == b.capacity;
+           a.address == b.address && a.capacity == b.capacity &&
+           a.leaving == b.leaving;
 }
 
 fleet::worker_listing worker_of(const json& in)
@@ -42,6 +44,8 @@
     worker.capacity = {in.at(4).get<std::int64_t>(),
                        in.at(5).get<std::int64_t>(),
                        in.at(6).get<std::int64_t>()};
+    constexpr std::size_t leaving = 7;
+    worker.leaving = in.size() > leaving && in.at(leaving).get<bool>();
     return worker;
 }
 
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -54,6 +54,14 @@
     return orders;
 }
 
+// Whether the lease of the known life of a worker has expired. One that has
+// announced its departure ends, and does not restart under its id.
+bool fleet::lease_expired(const worker_record& worker,
+                          base::time_point time) const
+{
+    return worker.lease.expired(time, leader_since_, !worker.listing.leaving);
+}
+
 // Whether nothing can be running on a worker any more and no run end from it
 // waits to be read here. An expired lease is not enough: the worker may be
 // answering while this daemon is starved of CPU or its link is full.
@@ -66,9 +74,8 @@
     const unanswered_renewals& silence = worker.unanswered_after_lease;
     return silence.count >= options_.max_unanswered_renewals &&
            (silence.confirmed >= options_.max_unanswered_renewals ||
-            worker.lease.expired(worker.last_unanswered_at -
-                                     unconfirmed_loss_delay(worker),
-                                 leader_since_));
+            lease_expired(worker, worker.last_unanswered_at -
+                                      unconfirmed_loss_delay(worker)));
 }
 
 // The same for lives of the worker that have not answered this leader yet.
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -175,7 +175,7 @@
         ++renewals.count;
         renewals.confirmed += confirmed ? 1 : 0;
     };
-    if (worker.lease.expired(sent, leader_since_))
+    if (lease_expired(worker, sent))
     {
         note(worker.unanswered_after_lease);
         if (worker.lease.expired_in_later_life(sent))
--- a/src/fleet/worker_lease.cpp
+++ b/src/fleet/worker_lease.cpp
@@ -103,11 +103,14 @@
     return end;
 }
 
-bool worker_lease::expired(base::time_point now, base::time_point since) const
+bool worker_lease::expired(base::time_point now, base::time_point since,
+                           bool restarts) const
 {
     if (!known_)
     {
-        return now >= since + delivery_ + longest_leader_time(longest_);
+        return now >= (restarts
+                           ? since + delivery_ + longest_leader_time(longest_)
+                           : since + longest_leader_time(length_));
     }
     return !granted_ ||
            now >= clock_at_ + longest_leader_time(*granted_ - clock_);
--- a/test/cell/worker_roster_test.cpp
+++ b/test/cell/worker_roster_test.cpp
@@ -50,6 +50,7 @@
     CPPUNIT_TEST(worker_added_is_stored_only_after_its_row);
     CPPUNIT_TEST(worker_added_during_write_waits_for_next_write);
     CPPUNIT_TEST(worker_known_needs_no_write);
+    CPPUNIT_TEST(worker_leaving_is_stored_and_read_back);
     CPPUNIT_TEST(worker_removed_leaves_row);
     CPPUNIT_TEST(row_malformed_is_an_error_and_adds_nothing);
     CPPUNIT_TEST_SUITE_END();
@@ -111,12 +112,32 @@
         write_to(first, next);
         auto labelled = listing("i-1");
         labelled.labels = {"large", "r1-3"};
-        labelled.leaving = true;
         next.add(labelled);
         CPPUNIT_ASSERT_EQUAL(0, write_to(next, first));
         CPPUNIT_ASSERT(next.stored(labelled.worker));
     }
 
+    // Guards against a new leader that waits for a worker that has left as if
+    // it could restart. Rows of former versions do not say so.
+    void worker_leaving_is_stored_and_read_back()
+    {
+        worker_roster first(parts);
+        first.add(listing("i-1"));
+        worker_roster next(parts);
+        write_to(first, next);
+        auto leaving = listing("i-1");
+        leaving.leaving = true;
+        first.add(leaving);
+        CPPUNIT_ASSERT(first.stored(leaving.worker));
+        worker_roster after(parts);
+        CPPUNIT_ASSERT_EQUAL(1, write_to(first, after));
+        CPPUNIT_ASSERT(after.workers().at(0).leaving);
+        worker_roster former(parts);
+        CPPUNIT_ASSERT(
+            former.load(0, R"([["i-2","s","z","10.0.0.1:1",1,1,0]])").ok());
+        CPPUNIT_ASSERT(!former.workers().at(0).leaving);
+    }
+
     void worker_removed_leaves_row()
     {
         worker_roster first(parts);
--- a/test/fleet/former_life_lease_test.cpp
+++ b/test/fleet/former_life_lease_test.cpp
@@ -53,6 +53,7 @@
     CPPUNIT_TEST(start_confirmed_by_a_later_life_may_run_there);
     CPPUNIT_TEST(late_order_extends_lease_of_former_life);
     CPPUNIT_TEST(new_leader_waits_for_longest_lease_of_silent_worker);
+    CPPUNIT_TEST(new_leader_waits_for_usual_lease_of_leaving_worker);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -143,6 +144,22 @@
                              f.starts_after(milliseconds(2000)));
     }
 
+    // Guards against tasks that wait for seconds after workers have left.
+    void new_leader_waits_for_usual_lease_of_leaving_worker()
+    {
+        two_workers f(2);
+        worker_listing leaving;
+        leaving.worker = w;
+        leaving.service = f.queue_.service;
+        leaving.leaving = true;
+        f.fleet_.expect_workers({leaving}, f.now_);
+        f.add_ready_worker("other", 4000);
+        f.add_job("inherited", {fleet_fixture::step(1, 1000)}, true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             f.starts_after(milliseconds(5000)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts_after(milliseconds(250)));
+    }
+
     // The former leader's calls may have reached another life of it.
     void new_leader_waits_for_longest_lease_of_silent_worker()
     {
