Log what standing tasks without a run wait for

The log has the loss of their workers and the next start, but not whether a task waits for a lease, for a confirmation that its worker is lost, for the reports of other workers after a change of leaders, or for room, limit or ticket. So it cannot tell the hypotheses apart.

Twice a second the leader looks for standing tasks without a certain run and logs those of more than 3 s, with the number by cause, and the length of each gap when it ends. The number of such tasks is a metric.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -180,6 +181,13 @@
     // The number of jobs of each queue of which no task has started.
     std::map<std::string, int> waiting_counts() const;
 
+    // How many standing tasks had no run at the last check, as far as the
+    // workers have answered.
+    std::size_t standing_tasks_without_run() const
+    {
+        return standing_gaps_.size();
+    }
+
     // Whether a worker is listed or may still be running something.
     bool has_worker(const base::worker_id& worker) const;
 
@@ -295,6 +303,19 @@
                         base::time_point now,
                         std::vector<candidate>& found) const;
 
+    // Standing tasks.
+    std::string_view standing_task_waits_for(const job_record& job,
+                                             const candidate* waiting,
+                                             const jobs::task_key& key,
+                                             const task_record& task,
+                                             base::time_point now) const;
+    void check_standing_tasks(const std::vector<candidate>& waiting,
+                              base::time_point now);
+    void
+    log_standing_gaps(const std::map<jobs::task_key, base::time_point>& former,
+                      const std::map<std::string_view, int>& causes,
+                      base::time_point now) const;
+
     // Placement.
     void start_tasks(std::vector<candidate>& waiting, base::time_point now,
                      std::vector<order>& orders);
@@ -356,6 +377,9 @@
     // Final jobs whose state is stored, in the order of finished_at.
     std::deque<base::job_id> finished_;
     base::time_point stalls_checked_at_;
+    // The standing tasks that had no run at the last check, and since when.
+    std::map<jobs::task_key, base::time_point> standing_gaps_;
+    base::time_point standing_checked_at_;
     std::map<base::team_id, share_limiter> shares_;
     // For the current round: the state of each service, and what earlier steps
     // have claimed of the limits of teams.
--- a/src/cell/leadership_reporting.cpp
+++ b/src/cell/leadership_reporting.cpp
@@ -48,6 +48,9 @@
         static_cast<double>(std::count_if(
             workers.begin(), workers.end(),
             [](const auto& entry) { return entry.second.unresponsive; })));
+    metrics_.set_value(
+        "standing_tasks_without_run",
+        static_cast<double>(fleet_.standing_tasks_without_run()));
     loop_.after(count_period, guarded([this] { count_workers(); }));
 }
 
@@ -56,6 +59,7 @@
 {
     metrics_.set_value("workers_known", 0);
     metrics_.set_value("workers_silent", 0);
+    metrics_.set_value("standing_tasks_without_run", 0);
 }
 
 void leadership::record_outcome(call_kind call, fleet::order_outcome outcome,
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -46,6 +46,7 @@
         std::vector<candidate> waiting = candidates(now);
         start_tasks(waiting, now, orders);
         order_tickets(waiting, now, allowance, orders);
+        check_standing_tasks(waiting, now);
     }
     // After the starts, which may preempt runs.
     order_stops(now, orders);
--- a/test/fleet/log_test.cpp
+++ b/test/fleet/log_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(report_with_ends_is_one_line_with_each_job);
     CPPUNIT_TEST(report_that_repeats_its_ends_is_not_logged_again);
     CPPUNIT_TEST(outcome_of_each_kind_has_its_name);
+    CPPUNIT_TEST(standing_task_without_run_is_logged_with_its_cause);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -51,7 +52,57 @@
         CPPUNIT_ASSERT(name_of(order_outcome::unknown) == "unknown");
     }
 
+    // Guards against gaps in a service whose cause cannot be told afterwards.
+    void standing_task_without_run_is_logged_with_its_cause()
+    {
+        const log_capture log;
+        fleet_fixture f(2);
+        jobs::step_spec standing = fleet_fixture::step(1, 1000);
+        standing.standing = true;
+        f.add_ready_worker("w", 1000);
+        f.add_job("a", {standing});
+        f.run_round();
+        f.confirm_starts();
+        f.fleet_.grant_lease(base::worker_id("w"), f.now_);
+        next_check(f);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                             f.fleet_.standing_tasks_without_run());
+        f.add_job("b", {standing});
+        f.fail_renewals("w", 1);
+        next_check(f);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2},
+                             f.fleet_.standing_tasks_without_run());
+        f.advance(std::chrono::milliseconds(4000));
+        f.run_round();
+        f.add_worker("silent", 1000);
+        f.add_job("c", {standing}, true);
+        next_check(f);
+        f.advance(std::chrono::milliseconds(4000));
+        f.add_ready_worker("v", 1000);
+        f.run_round();
+        f.confirm_starts();
+        next_check(f);
+        const std::vector<std::string> lines = log.with("have no run");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, lines.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("Standing tasks have no run. waiting_for=lease:1,room:1"
+                        " longest_ms=4000 job=a occurrence=0 step=0 task=0"),
+            lines[0]);
+        CPPUNIT_ASSERT(lines[2].find("reports:1") != std::string::npos);
+        const std::vector<std::string> ends = log.with("run again");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ends.size());
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("Standing tasks run again. gaps=b.0.0.0:9000"),
+            ends[0]);
+    }
+
 private:
+    static void next_check(fleet_fixture& f)
+    {
+        f.advance(std::chrono::milliseconds(500));
+        f.run_round();
+    }
+
     static void add_work(fleet_fixture& f)
     {
         f.add_ready_worker("w", 8000);
