Add failing tests of standing tasks on workers that leave or are lost

A standing task stays on a worker that has announced its departure until the worker is gone. Then it waits for the end of the lease and for two unanswered renewals that a daemon near the worker confirms, 6 to 7 s while all is well; without a confirmation 10 s more. After a change of leaders it waits for confirmations as well.

--- /dev/null
+++ b/test/fleet/departure_test.cpp
@@ -0,0 +1,258 @@
+// Standing tasks of workers that leave or are lost. They run until their job is
+// cancelled, so each second without a run is a second without service.
+
+#include "fleet_fixture.hpp"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace coltsfootrack::fleet
+{
+namespace
+{
+
+using std::chrono::milliseconds;
+
+const base::worker_id w("w");
+const base::worker_id v("v");
+
+jobs::step_spec standing(int tasks)
+{
+    jobs::step_spec made = fleet_fixture::step(tasks, 1000);
+    made.standing = true;
+    return made;
+}
+
+// Worker w runs the standing tasks of job a.
+class standing_fixture : public fleet_fixture
+{
+public:
+    explicit standing_fixture(int tasks = 1)
+    {
+        add_ready_worker("w", 4000);
+        add_job("a", {standing(tasks)});
+        run_round();
+        confirm_starts();
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(tasks), starts.size());
+        fleet_.grant_lease(w, now_);
+    }
+
+    // Worker w announces its departure.
+    void announce_departure()
+    {
+        worker_listing listing = fleet_.workers().at(w).listing;
+        listing.leaving = true;
+        fleet_.list_worker(listing, now_);
+    }
+
+    // Worker w has carried out the stops ordered so far.
+    void end_stopped_runs()
+    {
+        std::vector<run_end> ends;
+        for (const stop_order& stop : stops)
+        {
+            fleet_.on_stop(stop.worker, stop.task, stop.run,
+                           order_outcome::carried_out, now_);
+            ends.push_back(end_of(ends.size() + 1, stop.task, stop.run,
+                                  end_kind::stopped));
+        }
+        advance(milliseconds(100));
+        report("w", {}, ends);
+    }
+};
+
+} // namespace
+
+class departure_test : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(departure_test);
+    CPPUNIT_TEST(standing_task_moves_before_its_worker_has_left);
+    CPPUNIT_TEST(standing_task_stays_while_there_is_no_other_place);
+    CPPUNIT_TEST(standing_task_stays_while_its_team_is_at_its_limit);
+    CPPUNIT_TEST(standing_task_moves_once_there_is_a_ticket);
+    CPPUNIT_TEST(place_of_moved_task_is_kept_for_it);
+    CPPUNIT_TEST(other_tasks_stay_on_leaving_worker);
+    CPPUNIT_TEST(standing_task_runs_again_once_its_lease_has_expired);
+    CPPUNIT_TEST(standing_task_with_unknown_start_waits_for_later_lives);
+    CPPUNIT_TEST(inherited_standing_task_waits_for_leases_only);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against standing tasks that have no run for seconds after a worker
+    // has left as announced.
+    void standing_task_moves_before_its_worker_has_left()
+    {
+        standing_fixture f(2);
+        f.add_ready_worker("v", 4000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.stops.size());
+        CPPUNIT_ASSERT(f.stops[0].worker == w);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        f.end_stopped_runs();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[2].worker == v);
+        CPPUNIT_ASSERT(f.starts[2].run > f.starts[0].run);
+        CPPUNIT_ASSERT(f.starts[3].worker == v);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.stops.size());
+    }
+
+    // A task on a leaving worker is better than none.
+    void standing_task_stays_while_there_is_no_other_place()
+    {
+        standing_fixture f(2);
+        f.add_ready_worker("v", 1500);
+        f.announce_departure();
+        f.run_round();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.add_ready_worker("u", 1000);
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.stops.size());
+    }
+
+    // What it frees of the limit may go to another job of the team.
+    void standing_task_stays_while_its_team_is_at_its_limit()
+    {
+        standing_fixture f;
+        f.team_.team = base::team_id("t");
+        f.team_.limit = {1500, 0, 0};
+        f.apply();
+        f.add_job("b", {standing(1)});
+        f.run_round();
+        f.confirm_starts();
+        f.add_ready_worker("v", 4000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        CPPUNIT_ASSERT(f.stops[0].task == f.starts[0].task);
+    }
+
+    void standing_task_moves_once_there_is_a_ticket()
+    {
+        standing_fixture f;
+        f.queue_.tickets = ticket_policy();
+        f.queue_.tickets->valid_for = milliseconds(2000);
+        f.apply();
+        f.add_ready_worker("v", 4000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT(f.stops.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.asks.size());
+        CPPUNIT_ASSERT(f.asks[0].workers == std::vector<base::worker_id>{v});
+        f.fleet_.on_tickets(f.asks[0].step, f.asks[0].workers,
+                            std::vector<ticket_grant>{{v, "ticket"}},
+                            f.now_ + milliseconds(2000));
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.end_stopped_runs();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("ticket"), f.starts[1].ticket);
+    }
+
+    // Guards against a task that was stopped for a place which others take.
+    void place_of_moved_task_is_kept_for_it()
+    {
+        standing_fixture f;
+        f.add_ready_worker("v", 1000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.add_job("other", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.end_stopped_runs();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[1].task == f.starts[0].task);
+        CPPUNIT_ASSERT(f.starts[1].worker == v);
+    }
+
+    // Their work would be lost, or they end in time.
+    void other_tasks_stay_on_leaving_worker()
+    {
+        standing_fixture f;
+        f.add_job("b", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        f.confirm_starts();
+        f.add_ready_worker("v", 4000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        CPPUNIT_ASSERT(f.stops[0].task == f.starts[0].task);
+    }
+
+    // Guards against standing tasks that wait for a daemon near their worker,
+    // whose link may be full, or for a list that still names the worker. Such a
+    // task has no end that a second run could repeat.
+    void standing_task_runs_again_once_its_lease_has_expired()
+    {
+        standing_fixture f;
+        f.add_job("b", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        f.confirm_starts();
+        f.fleet_.grant_lease(w, f.now_);
+        f.add_ready_worker("v", 4000);
+        f.fail_renewals("w", 1, false);
+        f.advance(milliseconds(5000));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        // 2% for a slow clock on the worker, and a margin.
+        f.advance(milliseconds(250));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[2].task == f.starts[0].task);
+        CPPUNIT_ASSERT(f.starts[2].worker == v);
+    }
+
+    // The worker may have restarted, and its new life have taken the start.
+    void standing_task_with_unknown_start_waits_for_later_lives()
+    {
+        standing_fixture f;
+        f.add_job("b", {standing(1)});
+        f.run_round();
+        f.fleet_.on_start(w, f.starts[1].task, f.starts[1].run,
+                          order_outcome::unknown, f.now_);
+        f.fleet_.grant_lease(w, f.now_);
+        f.add_ready_worker("v", 4000);
+        f.fail_renewals("w", 1, false);
+        f.advance(milliseconds(6000));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[2].task == f.starts[0].task);
+        f.advance(milliseconds(6000));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[3].task == f.starts[1].task);
+    }
+
+    // Guards against a new leader that waits for confirmations beyond the
+    // longest lease before it starts standing tasks again.
+    void inherited_standing_task_waits_for_leases_only()
+    {
+        fleet_fixture f(2);
+        f.add_worker("w", 4000);
+        f.add_ready_worker("v", 4000);
+        f.add_job("a", {standing(1)}, true);
+        f.add_job("b", {fleet_fixture::step(1, 1000)}, true);
+        f.fail_renewals("w", 1, false);
+        f.advance(milliseconds(11800));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT(f.starts.empty());
+        f.advance(milliseconds(100));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[0].task == fleet_fixture::task("a", 0));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(departure_test);
+
+} // namespace coltsfootrack::fleet
