Start standing tasks again once their lease has expired

Cause: the run of a worker that does not answer was dropped only after its lease and two unanswered renewals, each confirmed by a daemon near the worker. That is there for ends as done which the worker may have listed in answers that were not read. A standing task has none: it is started again however it ends.

Why this works: an expired lease, with the slowest clock that is allowed, is proof that the run has ended. A start without a known outcome, or confirmed by a life that has not reported, still waits for the longest lease that a later life may hold.

The two tests failed before, also in their corrected form: the fixture now lets the lease that a former leader may have granted run out before the leader grants its own.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -247,7 +247,11 @@
                                     const worker_report& report,
                                     base::time_point now);
     void drop_all_runs(worker_record& worker);
+    static bool may_be_in_later_life(const worker_record& worker,
+                                     const active_run& run);
     void drop_lost_runs(worker_record& worker, bool lost_in_any_life);
+    void drop_expired_standing_runs(worker_record& worker,
+                                    base::time_point now);
     void process_running(worker_record& worker, const worker_report& report,
                          base::time_point now);
     bool process_ended(worker_record& worker, const worker_report& report,
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -106,6 +106,10 @@
     {
         worker_record& worker = it->second;
         const bool lost = is_lost(worker);
+        if (worker.unresponsive && !worker.runs.empty())
+        {
+            drop_expired_standing_runs(worker, now);
+        }
         if (lost && !worker.runs.empty())
         {
             drop_lost_runs(worker, is_lost_in_any_life(worker));
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -131,17 +131,23 @@
     }
 }
 
-// Drops the runs of a lost worker. A start without a known outcome may have
-// reached a later life of it, and an answer of that life may have confirmed it.
+// Whether a run may be in a life of its worker that has not reported. A start
+// without a known outcome may have reached a later life, and an answer of that
+// life may have confirmed it.
+bool fleet::may_be_in_later_life(const worker_record& worker,
+                                 const active_run& run)
+{
+    return worker.restart_seen_at || run.start_pending || run.start_uncertain;
+}
+
+// Drops the runs of a lost worker.
 void fleet::drop_lost_runs(worker_record& worker, bool lost_in_any_life)
 {
     const std::size_t before = worker.runs.size();
     for (auto it = worker.runs.begin(); it != worker.runs.end();)
     {
-        const active_run& run = it->second;
         const bool kept =
-            !lost_in_any_life && (worker.restart_seen_at || run.start_pending ||
-                                  run.start_uncertain);
+            !lost_in_any_life && may_be_in_later_life(worker, it->second);
         it = kept ? std::next(it) : drop_run(worker, it);
     }
     if (worker.runs.size() == before)
@@ -158,6 +164,38 @@
               worker.lease.granted().value_or(worker.report_clock).count());
 }
 
+// Drops the standing runs of a worker that does not answer, once their lease
+// has expired. Such a run has no end as done that may wait to be read, so
+// unlike others it needs no evidence that the worker is lost.
+void fleet::drop_expired_standing_runs(worker_record& worker,
+                                       base::time_point now)
+{
+    if (!lease_expired(worker, now))
+    {
+        return;
+    }
+    const bool expired_in_any_life = worker.lease.expired_in_later_life(now);
+    int dropped = 0;
+    for (auto it = worker.runs.begin(); it != worker.runs.end();)
+    {
+        const bool ended =
+            it->second.standing &&
+            (expired_in_any_life || !may_be_in_later_life(worker, it->second));
+        dropped += ended ? 1 : 0;
+        it = ended ? drop_run(worker, it) : std::next(it);
+    }
+    if (dropped > 0)
+    {
+        base::log(base::log_level::warning, log_part,
+                  "Standing runs dropped, since their lease has expired. "
+                  "worker={} runs={} kept={} listed={} clock_ms={} "
+                  "lease_end_ms={}",
+                  worker.listing.worker.text(), dropped, worker.runs.size(),
+                  worker.listed, worker.report_clock.count(),
+                  worker.lease.granted().value_or(worker.report_clock).count());
+    }
+}
+
 // Drops the runs of the previous life of a worker. A start that was not
 // confirmed before the renewal was sent may have reached the new life after it
 // made the report.
--- a/test/fleet/departure_test.cpp
+++ b/test/fleet/departure_test.cpp
@@ -29,6 +29,10 @@
     explicit standing_fixture(int tasks = 1)
     {
         add_ready_worker("w", 4000);
+        // The first report may be of a life that a former leader has granted
+        // the longest lease.
+        advance(milliseconds(6000));
+        report("w");
         add_job("a", {standing(tasks)});
         run_round();
         confirm_starts();
