Move standing tasks off workers that leave

Cause: a planned departure was handled like a crash. The worker tells 6 s before that it leaves; the leader only stopped to use it for new tasks, and learned of the end of the runs when their lease had expired.

Change: the standing runs of a worker that has announced its departure are stopped while it still answers, once there is room, a ticket and a part of the team's limit for them elsewhere. Without such a place the run stays. Other tasks stay: they may end in time, and a stop wastes their work.

Why this works: the next start needs only the end of the stop, which the worker lists at once, and no lease has to expire.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -320,6 +320,14 @@
                       const std::map<std::string_view, int>& causes,
                       base::time_point now) const;
 
+    // Tasks of workers that leave.
+    void collect_departing(const worker_record& worker);
+    void reserve_held_places(std::vector<candidate>& waiting,
+                             base::time_point now);
+    void move_departing(std::vector<candidate>& waiting, base::time_point now);
+    void move_run(const candidate& next, int index, worker_record& place,
+                  base::time_point now);
+
     // Placement.
     void start_tasks(std::vector<candidate>& waiting, base::time_point now,
                      std::vector<order>& orders);
@@ -327,6 +335,8 @@
                       std::vector<order>& orders);
     bool start_gang(candidate& next, base::time_point now,
                     std::vector<order>& orders);
+    worker_record* cheapest_place(const candidate& next, int index,
+                                  base::time_point now) const;
     bool matches_label(const worker_record& worker,
                        const candidate& next) const;
     bool has_room(const worker_record& worker, const candidate& next) const;
@@ -362,6 +372,16 @@
                        std::vector<order>& orders);
     std::vector<base::worker_id> workers_to_ask(const candidate& next) const;
 
+    // Room on a worker for a standing task that moves there.
+    struct held_place
+    {
+        base::worker_id worker;
+        // The worker that the task leaves.
+        base::worker_id former;
+        base::resources room;
+        base::time_point until;
+    };
+
     fleet_options options_;
     bool list_complete_ = true;
     // When this leader fenced off its predecessors.
@@ -385,6 +405,9 @@
     std::map<jobs::task_key, base::time_point> standing_gaps_;
     base::time_point standing_checked_at_;
     std::map<base::team_id, share_limiter> shares_;
+    std::map<jobs::task_key, held_place> held_places_;
+    // For the current round: the standing tasks on workers that leave.
+    std::map<jobs::step_key, std::vector<int>> departing_;
     // For the current round: the state of each service, and what earlier steps
     // have claimed of the limits of teams.
     std::map<base::service_id, service_round> rounds_;
--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -24,6 +24,8 @@
     jobs::step_key key;
     // The tasks to start; empty for a step that will be ready soon.
     std::vector<int> pending;
+    // The standing tasks that run on workers which leave.
+    std::vector<int> departing;
     // The workers that are known to be able to run the step: those with its
     // label and, where it needs one, a ticket, expired or not. Ordered by
     // number if it needs tickets, otherwise by id.
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -184,7 +184,10 @@
         {
             step_record& step = steps[s];
             const int total = static_cast<int>(step.tasks.size());
-            if (step.done + step.active >= total)
+            const auto departing =
+                departing_.find({job.id, k, static_cast<int>(s)});
+            if (step.done + step.active >= total &&
+                departing == departing_.end())
             {
                 continue;
             }
@@ -213,6 +216,10 @@
             {
                 continue;
             }
+            if (departing != departing_.end())
+            {
+                next.departing = departing->second;
+            }
             next.job = &job;
             next.queue = job.queue;
             next.round = &round;
@@ -231,6 +238,7 @@
 void fleet::find_schedulable_workers(base::time_point now)
 {
     rounds_.clear();
+    departing_.clear();
     unknown_usage_ = base::resources();
     std::map<base::service_id, std::vector<worker_record*>> usable;
     for (auto& [id, worker] : workers_)
@@ -249,6 +257,10 @@
         worker.schedulable =
             worker.listed && worker.synced && !worker.unresponsive &&
             worker.unknown_size_runs == 0 && !worker.listing.leaving;
+        if (worker.listing.leaving && worker.synced && !worker.unresponsive)
+        {
+            collect_departing(worker);
+        }
         if (worker.schedulable)
         {
             quarantine_if_failing(worker, now);
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -22,6 +22,7 @@
                         std::vector<order>& orders)
 {
     claimed_limits_.clear();
+    reserve_held_places(waiting, now);
     for (candidate& next : waiting)
     {
         if (next.pending.empty())
@@ -49,6 +50,33 @@
             reserve_worker(next);
         }
     }
+    move_departing(waiting, now);
+}
+
+// The worker where a task is best placed; null if none has room.
+worker_record* fleet::cheapest_place(const candidate& next, int index,
+                                     base::time_point now) const
+{
+    const task_record& task =
+        next.record->tasks[static_cast<std::size_t>(index)];
+    worker_record* best = nullptr;
+    double best_cost = std::numeric_limits<double>::max();
+    for (worker_record* worker : next.eligible)
+    {
+        if (!has_room(*worker, next) || !has_ticket(*worker, next, now))
+        {
+            continue;
+        }
+        double cost = cost_of(*worker, next);
+        cost +=
+            task.avoided_worker == worker->listing.worker ? avoided_cost : 0;
+        if (cost < best_cost)
+        {
+            best = worker;
+            best_cost = cost;
+        }
+    }
+    return best;
 }
 
 bool fleet::start_single(candidate& next, base::time_point now,
@@ -57,28 +85,11 @@
     std::vector<int> left;
     for (const int index : next.pending)
     {
-        task_record& task = next.record->tasks[static_cast<std::size_t>(index)];
-        worker_record* best = nullptr;
-        double best_cost = std::numeric_limits<double>::max();
-        if (left.empty() && within_limit(next, 1))
-        {
-            for (worker_record* worker : next.eligible)
-            {
-                if (!has_room(*worker, next) || !has_ticket(*worker, next, now))
-                {
-                    continue;
-                }
-                double cost = cost_of(*worker, next);
-                cost += task.avoided_worker == worker->listing.worker
-                            ? avoided_cost
-                            : 0;
-                if (cost < best_cost)
-                {
-                    best = worker;
-                    best_cost = cost;
-                }
-            }
-        }
+        const task_record& task =
+            next.record->tasks[static_cast<std::size_t>(index)];
+        worker_record* const best = left.empty() && within_limit(next, 1)
+                                        ? cheapest_place(next, index, now)
+                                        : nullptr;
         if (best == nullptr)
         {
             left.push_back(index);
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -245,7 +245,7 @@
         {
             continue;
         }
-        const bool ready = !next.pending.empty();
+        const bool ready = !next.pending.empty() || !next.departing.empty();
         std::size_t& head = heads[next.queue->service];
         const auto& policy = *next.queue->tickets;
         const bool cheap = policy.decide_time < allowance.long_request;
