Let inherited standing tasks wait for leases only

Callers would see standing tasks without a run for longer than the longest lease after a change of leaders near the loss of a worker: 10 s more if no daemon near that worker confirms that it does not answer, 30 s if the platform still lists it.

Cause: a new leader starts inherited jobs on a service only once each of its workers has reported or counts as lost. The latter needs unanswered renewals that a daemon near the worker confirms, for ends as done that may wait there. A standing task has no such end.

Change: standing tasks of inherited jobs wait until no worker that has not reported can hold a lease: calls of the former leader have arrived, and the longest lease has passed on a slow clock. That also holds for workers which had announced their departure, whose loss needs 5.2 s and two confirmed renewals as before, whichever comes first.

--- a/include/coltsfootrack/fleet/service_round.hpp
+++ b/include/coltsfootrack/fleet/service_round.hpp
@@ -21,6 +21,9 @@
     // Some worker may have runs that this leader does not know of, so that
     // inherited jobs wait.
     bool runs_unknown = false;
+    // The lease of such a worker may be in force, so that inherited standing
+    // tasks wait as well.
+    bool leases_unknown = false;
     // Steps that could not be placed so far.
     std::size_t steps_without_room = 0;
     // Workers reserved for one step so far.
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -105,6 +105,16 @@
     return job.over_share ? rank + over_share_rank : rank;
 }
 
+// Whether tasks of a step may be running on a worker that has not reported to
+// this leader. A standing task has no end that may wait there to be read, so it
+// waits for leases only.
+bool may_run_unseen(const job_record& job, const jobs::step_spec& spec,
+                    const service_round& round)
+{
+    return job.inherited &&
+           (spec.standing ? round.leases_unknown : round.runs_unknown);
+}
+
 } // namespace
 
 bool fleet::step_ready(const std::vector<step_record>& steps,
@@ -163,11 +173,7 @@
         {
             continue;
         }
-        service_round& round = rounds_[job->queue->service];
-        if (!job->inherited || !round.runs_unknown)
-        {
-            add_candidates(*job, round, now, found);
-        }
+        add_candidates(*job, rounds_[job->queue->service], now, found);
     }
     std::sort(found.begin(), found.end());
     return found;
@@ -192,6 +198,10 @@
                 continue;
             }
             const jobs::step_spec& spec = spec_of(job, static_cast<int>(s));
+            if (may_run_unseen(job, spec, round))
+            {
+                continue;
+            }
             const bool ready = step_ready(steps, spec);
             if (!ready && !step_ready_soon(job, steps, spec, *job.queue, now))
             {
@@ -247,6 +257,9 @@
         const bool runs_unknown = !worker.synced && !is_lost(worker);
         round.runs_unknown =
             round.runs_unknown || runs_unknown || !list_complete_;
+        round.leases_unknown =
+            round.leases_unknown || !list_complete_ ||
+            (runs_unknown && !worker.lease.expired(now, leader_since_));
         if (runs_unknown || worker.unknown_size_runs > 0)
         {
             unknown_usage_ += worker.listing.capacity;
