Add a failing test of a step that allows one task on a worker

The test fails on this code: two standing tasks of a step with max_per_worker 1 are stopped for the same place.

Cause: move_departing asks has_room, which counts the runs of the step on the target, but not the places that are held there for tasks of the step (fleet_departures.cpp, fleet_placement.cpp). The room of the second task is free, so both are stopped, and only one can start there. The other one has no run until another worker has room; it would have gone on until its worker left.

Order of events: two workers of a release run one task each and announce their departure, at once or within the time of one stop; one other worker has room for two.

--- a/test/fleet/departure_test.cpp
+++ b/test/fleet/departure_test.cpp
@@ -22,6 +22,13 @@
     return made;
 }
 
+void announce_departure_of(fleet_fixture& f, const base::worker_id& worker)
+{
+    worker_listing listing = f.fleet_.workers().at(worker).listing;
+    listing.leaving = true;
+    f.fleet_.list_worker(listing, f.now_);
+}
+
 // Worker w runs the standing tasks of job a.
 class standing_fixture : public fleet_fixture
 {
@@ -43,9 +50,7 @@
     // Worker w announces its departure.
     void announce_departure()
     {
-        worker_listing listing = fleet_.workers().at(w).listing;
-        listing.leaving = true;
-        fleet_.list_worker(listing, now_);
+        announce_departure_of(*this, w);
     }
 
     // Worker w has carried out the stops ordered so far.
@@ -78,6 +83,7 @@
     CPPUNIT_TEST(standing_task_runs_again_once_its_lease_has_expired);
     CPPUNIT_TEST(standing_task_with_unknown_start_waits_for_later_lives);
     CPPUNIT_TEST(inherited_standing_task_waits_for_leases_only);
+    CPPUNIT_TEST(standing_task_stays_if_other_place_takes_no_second_one);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -255,6 +261,28 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
         CPPUNIT_ASSERT(f.starts[0].task == fleet_fixture::task("a", 0));
     }
+
+    // Guards against a task that is stopped for a place which another task of
+    // its step has been given: there is room for both, but the step allows one
+    // task on a worker, so the second one would have no run.
+    void standing_task_stays_if_other_place_takes_no_second_one()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 1000);
+        f.add_ready_worker("u", 1000);
+        jobs::step_spec spread = standing(2);
+        spread.max_per_worker = 1;
+        f.add_job("a", {spread});
+        f.run_round();
+        f.confirm_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        f.add_ready_worker("v", 4000);
+        announce_departure_of(f, w);
+        announce_departure_of(f, base::worker_id("u"));
+        f.run_round();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(departure_test);
