Count places that are held for a step against its tasks on a worker

Two tasks of a step with max_per_worker 1, on two workers that leave, were stopped for the same place. Only one could start there, and the other one had no run until another worker had room.

Cause: whether a worker takes another task of a step was judged by the runs there, without the places that are held for tasks which are still being stopped elsewhere.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -324,6 +324,8 @@
     void collect_departing(const worker_record& worker);
     void reserve_held_places(std::vector<candidate>& waiting,
                              base::time_point now);
+    int tasks_moving_to(const worker_record& worker,
+                        const jobs::step_key& step) const;
     void move_departing(std::vector<candidate>& waiting, base::time_point now);
     void move_run(const candidate& next, int index, worker_record& place,
                   base::time_point now);
--- a/src/fleet/fleet_departures.cpp
+++ b/src/fleet/fleet_departures.cpp
@@ -67,6 +67,24 @@
     }
 }
 
+// The tasks of a step that are still being stopped elsewhere, for a place on
+// this worker.
+int fleet::tasks_moving_to(const worker_record& worker,
+                           const jobs::step_key& step) const
+{
+    int count = 0;
+    for (auto held = held_places_.lower_bound({step, 0});
+         held != held_places_.end() && held->first.step == step; ++held)
+    {
+        const auto former = workers_.find(held->second.former);
+        const bool stopping = former != workers_.end() &&
+                              former->second.runs.count(held->first) != 0;
+        count +=
+            stopping && held->second.worker == worker.listing.worker ? 1 : 0;
+    }
+    return count;
+}
+
 // Stops departing runs of steps that have another place for them.
 void fleet::move_departing(std::vector<candidate>& waiting,
                            base::time_point now)
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -112,7 +112,8 @@
     const auto first = worker.runs.lower_bound({next.key, 0});
     const auto last =
         worker.runs.upper_bound({next.key, std::numeric_limits<int>::max()});
-    return std::distance(first, last) < spec.max_per_worker;
+    return std::distance(first, last) + tasks_moving_to(worker, next.key) <
+           spec.max_per_worker;
 }
 
 bool fleet::has_ticket(const worker_record& worker, const candidate& next,
