Add a failing test of a limit and a run whose lease has expired

The test fails on this code: a team at its limit starts nothing while a worker that runs one of its tasks does not answer, long after the lease of that run has expired.

Cause: usage_ counts a run until drop_run (fleet_runs.cpp), and the runs of a lost worker are dropped only with two confirmed renewals, or 10 s after the lease if the worker is off the list, 30 s if it is on it. That evidence is there for ends as done that are not read yet: the same task must not be started again. The limit needs only that the run has ended, which the expired lease proves. Runs that may be in a later life of the worker have to count for longer.

Order of events: a worker is cut off, or its zone's link is full, so that no daemon confirms its silence; other jobs of the team wait.

--- a/test/fleet/limit_test.cpp
+++ b/test/fleet/limit_test.cpp
@@ -11,6 +11,8 @@
 namespace
 {
 
+using std::chrono::milliseconds;
+
 // A team limited to one and a half cores, and two workers of one core, the
 // second of which has not reported yet.
 class limited_fixture : public fleet_fixture
@@ -35,6 +37,7 @@
     CPPUNIT_TEST(limit_counts_what_may_run_on_an_unknown_worker);
     CPPUNIT_TEST(limit_with_headroom_does_not_wait_for_an_unknown_worker);
     CPPUNIT_TEST(limit_counts_a_worker_with_runs_of_an_unknown_job);
+    CPPUNIT_TEST(limit_does_not_count_run_whose_lease_has_expired);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -67,6 +70,41 @@
         f.run_round();
         CPPUNIT_ASSERT(f.starts.empty());
     }
+
+    // Guards against a team that starts nothing while a worker with its runs
+    // does not answer. An expired lease proves that nothing runs there; only a
+    // second start of the same task needs evidence that no end is unread.
+    void limit_does_not_count_run_whose_lease_has_expired()
+    {
+        limited_fixture f;
+        f.report("w2");
+        // The first report may be of a life that a former leader has granted
+        // the longest lease.
+        f.advance(milliseconds(6000));
+        f.report("w1");
+        f.report("w2");
+        f.add_job("a", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        f.confirm_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.starts.size());
+        const base::worker_id cut_off = f.starts[0].worker;
+        const std::string other =
+            cut_off == base::worker_id("w1") ? "w2" : "w1";
+        f.fleet_.grant_lease(cut_off, f.now_);
+        f.add_job("b", {fleet_fixture::step(1, 1000)});
+        f.fail_renewals(cut_off.text(), 1, false);
+        f.advance(milliseconds(5000));
+        f.report(other);
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.starts.size());
+        // 2% for a slow clock on the worker, and a margin.
+        f.advance(milliseconds(250));
+        f.fail_renewals(cut_off.text(), 1, false);
+        f.report(other);
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.starts.size());
+        CPPUNIT_ASSERT(f.starts[1].task == fleet_fixture::task("b", 0));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(limit_test);
