Add a failing test of limits and a worker that has not reported

The test fails on this code: after a change of leaders a team with a limit starts nothing for as long as one worker is silent.

Cause: find_schedulable_workers adds the whole capacity of each worker that has not reported and is not lost to what every team may be using (fleet_candidates.cpp, unknown_usage_), and a loss needs confirmations, or 10 s or 30 s more. The limit needs only that nothing runs there, which holds once no lease of a former leader can be in force. The same counts for a worker that is listed for the first time later than that: its capacity is counted until it answers.

Order of events: a leader takes over while a worker is cut off; or a new worker is listed and its first answer is late.

--- a/test/fleet/limit_test.cpp
+++ b/test/fleet/limit_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(limit_with_headroom_does_not_wait_for_an_unknown_worker);
     CPPUNIT_TEST(limit_counts_a_worker_with_runs_of_an_unknown_job);
     CPPUNIT_TEST(limit_does_not_count_run_whose_lease_has_expired);
+    CPPUNIT_TEST(limit_does_not_count_unknown_worker_without_lease);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -105,6 +106,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), f.starts.size());
         CPPUNIT_ASSERT(f.starts[1].task == fleet_fixture::task("b", 0));
     }
+
+    // Guards against teams that start nothing while a worker has not reported,
+    // although no lease of a former leader can be in force there any more.
+    void limit_does_not_count_unknown_worker_without_lease()
+    {
+        limited_fixture f;
+        f.add_job("job", {fleet_fixture::step(1, 1000)});
+        f.advance(milliseconds(11800));
+        f.fail_renewals("w2", 1, false);
+        f.report("w1");
+        f.run_round();
+        CPPUNIT_ASSERT(f.starts.empty());
+        f.advance(milliseconds(100));
+        f.fail_renewals("w2", 1, false);
+        f.report("w1");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), f.starts.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(limit_test);
