Count a silent worker against limits only while a lease may be in force

Cause: the whole capacity of a worker that has not reported counts as used by every team until the worker counts as lost. That needs confirmations, for ends as done that may wait there. A limit needs only that nothing runs there, which holds once no lease of a former leader can be in force.

--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -257,10 +257,11 @@
         const bool runs_unknown = !worker.synced && !is_lost(worker);
         round.runs_unknown =
             round.runs_unknown || runs_unknown || !list_complete_;
+        const bool lease_unknown =
+            runs_unknown && !worker.lease.expired(now, leader_since_);
         round.leases_unknown =
-            round.leases_unknown || !list_complete_ ||
-            (runs_unknown && !worker.lease.expired(now, leader_since_));
-        if (runs_unknown || worker.unknown_size_runs > 0)
+            round.leases_unknown || !list_complete_ || lease_unknown;
+        if (lease_unknown || worker.unknown_size_runs > 0)
         {
             unknown_usage_ += worker.listing.capacity;
         }
