Do not count runs whose lease has expired against limits

Cause: a run counts until its worker is lost, which needs confirmations, for ends as done that may wait there. The same task must not start again before that, but the limit needs only that the run has ended. Runs that may be in a later life of the worker count until the longest lease of such a life has expired.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -250,6 +250,8 @@
     static bool may_be_in_later_life(const worker_record& worker,
                                      const active_run& run);
     void drop_lost_runs(worker_record& worker, bool lost_in_any_life);
+    bool has_lapsed(const worker_record& worker, const active_run& run,
+                    base::time_point now) const;
     void drop_expired_standing_runs(worker_record& worker,
                                     base::time_point now);
     void process_running(worker_record& worker, const worker_report& report,
@@ -354,6 +356,9 @@
                      std::vector<order>& orders);
     void reserve_worker(const candidate& next);
     void find_schedulable_workers(base::time_point now);
+    void collect_lapsed_usage(const worker_record& worker,
+                              base::time_point now);
+    base::resources limited_usage(const base::team_id& team) const;
     void find_eligible_workers(candidate& next) const;
     bool may_have_room(const candidate& next) const;
     bool any_room(const candidate& next) const;
@@ -414,6 +419,9 @@
     // have claimed of the limits of teams.
     std::map<base::service_id, service_round> rounds_;
     std::map<base::team_id, base::resources> claimed_limits_;
+    // For the current round: the part of usage_ held by runs that have ended
+    // with their lease, though their worker has not said so.
+    std::map<base::team_id, base::resources> lapsed_usage_;
     // For the current round: an upper bound on what any team may be running on
     // workers whose runs are not known.
     base::resources unknown_usage_;
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -243,12 +243,25 @@
     }
 }
 
+void fleet::collect_lapsed_usage(const worker_record& worker,
+                                 base::time_point now)
+{
+    for (const auto& [key, run] : worker.runs)
+    {
+        if (has_lapsed(worker, run, now))
+        {
+            lapsed_usage_[run.team] += run.need;
+        }
+    }
+}
+
 // Collects the workers of each service that accept tasks in this round. Beyond
 // that, a step may only require a label.
 void fleet::find_schedulable_workers(base::time_point now)
 {
     rounds_.clear();
     departing_.clear();
+    lapsed_usage_.clear();
     unknown_usage_ = base::resources();
     std::map<base::service_id, std::vector<worker_record*>> usable;
     for (auto& [id, worker] : workers_)
@@ -271,6 +284,10 @@
         worker.schedulable =
             worker.listed && worker.synced && !worker.unresponsive &&
             worker.unknown_size_runs == 0 && !worker.listing.leaving;
+        if (worker.unresponsive)
+        {
+            collect_lapsed_usage(worker, now);
+        }
         if (worker.listing.leaving && worker.synced && !worker.unresponsive)
         {
             collect_departing(worker);
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -145,6 +145,16 @@
                          base::resources());
 }
 
+// What counts against the limit of a team: all but runs that have ended with
+// their lease. Their task must not start again before it is known whether they
+// ended as done, but the limit needs only that they have ended.
+base::resources fleet::limited_usage(const base::team_id& team) const
+{
+    const auto lapsed = lapsed_usage_.find(team);
+    return lapsed == lapsed_usage_.end() ? usage_of(team)
+                                         : usage_of(team) - lapsed->second;
+}
+
 bool fleet::within_limit(const candidate& next, int count) const
 {
     const base::team_id& id = next.job->submission.team;
@@ -153,7 +163,7 @@
     {
         return true;
     }
-    const base::resources after = usage_of(id) + unknown_usage_ +
+    const base::resources after = limited_usage(id) + unknown_usage_ +
                                   limit_claimed_by_others(next) +
                                   next.spec->need * count;
     const auto fits = [](std::int64_t used, std::int64_t limit)
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -174,7 +174,7 @@
     {
         return limit > 0 ? std::max<std::int64_t>(0, wanted - limit) : 0;
     };
-    const base::resources used = usage_of(id) + unknown_usage_ -
+    const base::resources used = limited_usage(id) + unknown_usage_ -
                                  stopping_usage_[id] + claimed_limits_[id];
     const auto missing = [&](int count)
     {
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -164,23 +164,26 @@
               worker.lease.granted().value_or(worker.report_clock).count());
 }
 
+// Whether a run has certainly ended with the lease of its worker.
+bool fleet::has_lapsed(const worker_record& worker, const active_run& run,
+                       base::time_point now) const
+{
+    return worker.unresponsive && lease_expired(worker, now) &&
+           (!may_be_in_later_life(worker, run) ||
+            worker.lease.expired_in_later_life(now));
+}
+
 // Drops the standing runs of a worker that does not answer, once their lease
 // has expired. Such a run has no end as done that may wait to be read, so
 // unlike others it needs no evidence that the worker is lost.
 void fleet::drop_expired_standing_runs(worker_record& worker,
                                        base::time_point now)
 {
-    if (!lease_expired(worker, now))
-    {
-        return;
-    }
-    const bool expired_in_any_life = worker.lease.expired_in_later_life(now);
     int dropped = 0;
     for (auto it = worker.runs.begin(); it != worker.runs.end();)
     {
         const bool ended =
-            it->second.standing &&
-            (expired_in_any_life || !may_be_in_later_life(worker, it->second));
+            it->second.standing && has_lapsed(worker, it->second, now);
         dropped += ended ? 1 : 0;
         it = ended ? drop_run(worker, it) : std::next(it);
     }
