Wait for late orders before standing tasks run again

Order of events: a start gets no answer; the worker restarts under its id, and the new life carries out the call 5 s later, under the longest lease from then on; the worker is cut off. After 11.9 s, the longest lease of a call that arrives in time, the run was dropped and the task started elsewhere, while it could run until 15 s and more. A new leader did the same with starts of its predecessor.

Cause: the early drop took the time after which no call can arrive any more for the end of all leases. Calls that are carried out up to 12 s late are not in it.

Change: only runs that the known life of a worker has confirmed are dropped at the end of the lease; those that may be in a later life wait until the worker is lost in any life, as before. A new leader adds the 12 s for inherited standing tasks, and for what a silent worker may hold of limits.

Two tests asserted the unsafe start and are replaced by stricter ones: standing_task_with_unknown_start_waits_for_later_lives, which expected a start after 12 s, now expects none after 21.8 s; the bounds of inherited_standing_task_waits_for_leases_only and limit_does_not_count_unknown_worker_without_lease are 12 s later.

--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -270,8 +270,10 @@
         const bool runs_unknown = !worker.synced && !is_lost(worker);
         round.runs_unknown =
             round.runs_unknown || runs_unknown || !list_complete_;
+        // A start of a former leader may be carried out late.
         const bool lease_unknown =
-            runs_unknown && !worker.lease.expired(now, leader_since_);
+            runs_unknown &&
+            !worker.lease.expired(now - options_.late_order, leader_since_);
         round.leases_unknown =
             round.leases_unknown || !list_complete_ || lease_unknown;
         if (lease_unknown || worker.unknown_size_runs > 0)
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -164,13 +164,14 @@
               worker.lease.granted().value_or(worker.report_clock).count());
 }
 
-// Whether a run has certainly ended with the lease of its worker.
+// Whether a run has certainly ended with the lease of its worker. That is not
+// known of a run that may be in a later life of the worker, which may carry out
+// its start late and hold a lease from then on.
 bool fleet::has_lapsed(const worker_record& worker, const active_run& run,
                        base::time_point now) const
 {
     return worker.unresponsive && lease_expired(worker, now) &&
-           (!may_be_in_later_life(worker, run) ||
-            worker.lease.expired_in_later_life(now));
+           !may_be_in_later_life(worker, run);
 }
 
 // Drops the standing runs of a worker that does not answer, once their lease
--- a/test/fleet/departure_test.cpp
+++ b/test/fleet/departure_test.cpp
@@ -81,7 +81,9 @@
     CPPUNIT_TEST(place_of_moved_task_is_kept_for_it);
     CPPUNIT_TEST(other_tasks_stay_on_leaving_worker);
     CPPUNIT_TEST(standing_task_runs_again_once_its_lease_has_expired);
-    CPPUNIT_TEST(standing_task_with_unknown_start_waits_for_later_lives);
+    CPPUNIT_TEST(standing_task_with_unknown_start_waits_for_late_orders);
+    CPPUNIT_TEST(standing_task_in_a_later_life_waits_for_its_lease);
+    CPPUNIT_TEST(inherited_standing_task_waits_for_late_orders);
     CPPUNIT_TEST(inherited_standing_task_waits_for_leases_only);
     CPPUNIT_TEST(standing_task_stays_if_other_place_takes_no_second_one);
     CPPUNIT_TEST_SUITE_END();
@@ -218,8 +220,10 @@
         CPPUNIT_ASSERT(f.starts[2].worker == v);
     }
 
-    // The worker may have restarted, and its new life have taken the start.
-    void standing_task_with_unknown_start_waits_for_later_lives()
+    // Guards against two runs of a task: the worker may have restarted, and
+    // its new life carries out the start up to 12 s late, under the longest
+    // lease from then on.
+    void standing_task_with_unknown_start_waits_for_late_orders()
     {
         standing_fixture f;
         f.add_job("b", {standing(1)});
@@ -234,15 +238,44 @@
         f.run_round();
         CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.starts.size());
         CPPUNIT_ASSERT(f.starts[2].task == f.starts[0].task);
+        f.advance(milliseconds(15800));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.starts.size());
+    }
+
+    // The clock in an answer showed a later life, which has not reported.
+    void standing_task_in_a_later_life_waits_for_its_lease()
+    {
+        standing_fixture f;
+        f.fleet_.grant_lease(w, f.now_);
+        f.advance(milliseconds(200));
+        CPPUNIT_ASSERT(f.fleet_.on_clock(w, milliseconds(5), f.now_, f.now_));
+        f.add_ready_worker("v", 4000);
+        f.fail_renewals("w", 1, false);
         f.advance(milliseconds(6000));
         f.report("v");
         f.run_round();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, f.starts.size());
-        CPPUNIT_ASSERT(f.starts[3].task == f.starts[1].task);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
+    // Guards against two runs of a task: a later life of the worker may carry
+    // out a start of the former leader up to 12 s late.
+    void inherited_standing_task_waits_for_late_orders()
+    {
+        fleet_fixture f(2);
+        f.add_worker("w", 4000);
+        f.add_ready_worker("v", 4000);
+        f.add_job("a", {standing(1)}, true);
+        f.fail_renewals("w", 1, false);
+        f.advance(milliseconds(15000));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT(f.starts.empty());
     }
 
     // Guards against a new leader that waits for confirmations beyond the
-    // longest lease before it starts standing tasks again.
+    // longest lease of any call before it starts standing tasks again.
     void inherited_standing_task_waits_for_leases_only()
     {
         fleet_fixture f(2);
@@ -251,7 +284,7 @@
         f.add_job("a", {standing(1)}, true);
         f.add_job("b", {fleet_fixture::step(1, 1000)}, true);
         f.fail_renewals("w", 1, false);
-        f.advance(milliseconds(11800));
+        f.advance(milliseconds(23800));
         f.report("v");
         f.run_round();
         CPPUNIT_ASSERT(f.starts.empty());
--- a/test/fleet/limit_test.cpp
+++ b/test/fleet/limit_test.cpp
@@ -113,7 +113,7 @@
     {
         limited_fixture f;
         f.add_job("job", {fleet_fixture::step(1, 1000)});
-        f.advance(milliseconds(11800));
+        f.advance(milliseconds(23800));
         f.fail_renewals("w2", 1, false);
         f.report("w1");
         f.run_round();
