Hold the place of a moved standing task until it can start there

A standing task that was stopped on a leaving worker could find its place taken, and had no run where it would have had one.

Cause: the place was a reservation like that for an urgent step, but - another run that is stopped on the same worker counted as room for it, - a more urgent step could reserve the whole worker, - it expired 3 s after the stop was ordered, also while the stop had no answer, - the part of the team's limit that the stop frees went to any step, - leftover capacity was not counted, so too many tasks were stopped, - it preempted other runs, its own place being counted against it, - it outlived the cancellation of the job, - and a ticket that expires during the stop counted.

Change: places are counted apart from reservations, as room and leftover capacity, together with the part of the limit; they last until 3 s after the former run has ended; a ticket must outlast the stop by 1 s.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -37,6 +37,7 @@
 {
 
 struct candidate;
+struct place_on_worker;
 
 // The leader's scheduler: decides which task runs on which worker, and tracks
 // the state of jobs, runs and workers.
@@ -324,13 +325,12 @@
 
     // Tasks of workers that leave.
     void collect_departing(const worker_record& worker);
-    void reserve_held_places(std::vector<candidate>& waiting,
-                             base::time_point now);
+    void apply_held_places(std::vector<candidate>& waiting,
+                           base::time_point now);
     int tasks_moving_to(const worker_record& worker,
                         const jobs::step_key& step) const;
     void move_departing(std::vector<candidate>& waiting, base::time_point now);
-    void move_run(const candidate& next, int index, worker_record& place,
-                  base::time_point now);
+    void move_run(const candidate& next, int index, worker_record& place);
 
     // Placement.
     void start_tasks(std::vector<candidate>& waiting, base::time_point now,
@@ -349,6 +349,8 @@
     bool within_limit(const candidate& next, int count) const;
     base::resources room_reserved_by_others(const worker_record& worker,
                                             const candidate& next) const;
+    static place_on_worker place_held_for_others(const worker_record& worker,
+                                                 const candidate& next);
     base::resources limit_claimed_by_others(const candidate& next) const;
     double cost_of(const worker_record& worker, const candidate& next) const;
     void order_start(const candidate& next, int index, worker_record& worker,
@@ -379,14 +381,19 @@
                        std::vector<order>& orders);
     std::vector<base::worker_id> workers_to_ask(const candidate& next) const;
 
-    // Room on a worker for a standing task that moves there.
+    // A place on a worker, and the part of the limit of its team, for a
+    // standing task that moves there.
     struct held_place
     {
         base::worker_id worker;
         // The worker that the task leaves.
         base::worker_id former;
+        base::team_id team;
+        base::resources need;
         base::resources room;
-        base::time_point until;
+        std::int64_t leftover = 0;
+        // Set once the former run has ended.
+        std::optional<base::time_point> until;
     };
 
     fleet_options options_;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -111,6 +111,11 @@
     bool schedulable = false;
     base::resources reserved_room;
     const step_record* reserved_for = nullptr;
+    // Also for the current round: the places that are held here for standing
+    // tasks which move, as room and as leftover capacity in thousandths of a
+    // core.
+    base::resources held_room;
+    std::int64_t held_leftover = 0;
     std::vector<run_map::iterator> victims;
     base::resources victim_room;
     // When the throttling of tasks on leftover capacity last changed.
--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -13,6 +13,14 @@
 namespace coltsfootrack::fleet
 {
 
+// What a task takes of a worker.
+struct place_on_worker
+{
+    const worker_record* worker = nullptr;
+    base::resources room;
+    std::int64_t leftover = 0;
+};
+
 // A step that has tasks to start, or will soon.
 struct candidate
 {
@@ -34,6 +42,9 @@
     // limit of its team.
     std::vector<std::pair<const worker_record*, base::resources>> reserved_room;
     base::resources claimed;
+    // The places that are held for its pending tasks, the same as in
+    // worker_record::held_room and held_leftover.
+    std::vector<place_on_worker> held_places;
     // Whether the limit allows it, if need be after preemption.
     bool limit_attainable = false;
     // False for a step without room beyond the first max_considered_steps of
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -282,6 +282,8 @@
         }
         worker.reserved_for = nullptr;
         worker.reserved_room = base::resources();
+        worker.held_room = base::resources();
+        worker.held_leftover = 0;
         worker.victims.clear();
         worker.schedulable =
             worker.listed && worker.synced && !worker.unresponsive &&
--- a/src/fleet/fleet_departures.cpp
+++ b/src/fleet/fleet_departures.cpp
@@ -22,9 +22,13 @@
 
 constexpr std::string_view log_part = "fleet";
 
-// How long a place is held: a stop that is repeated once, and a new ticket.
+// How long a place is held after the former run has ended: a new ticket, and a
+// start that is refused once.
 constexpr std::chrono::milliseconds place_hold_time{3000};
 
+// A ticket has to be valid for this long, so that it outlasts the stop.
+constexpr std::chrono::milliseconds stop_allowance{1000};
+
 } // namespace
 
 // The standing tasks that a worker which leaves is running.
@@ -39,29 +43,41 @@
     }
 }
 
-// Reserves the held places against all steps but those that they are for.
-void fleet::reserve_held_places(std::vector<candidate>& waiting,
-                                base::time_point now)
+// Takes the held places, and the parts of limits, from all steps but those that
+// they are for, and gives up the places that are no longer needed.
+void fleet::apply_held_places(std::vector<candidate>& waiting,
+                              base::time_point now)
 {
     for (auto it = held_places_.begin(); it != held_places_.end();)
     {
-        const auto& [key, place] = *it;
+        auto& [key, place] = *it;
         const task_record* task = find_task(key);
         const auto target = workers_.find(place.worker);
-        const bool moved =
-            task == nullptr || (task->worker && *task->worker != place.former);
-        if (moved || now >= place.until || target == workers_.end())
+        const bool needed = task != nullptr &&
+                            !find_job(key.step.job)->has_final_state() &&
+                            (!task->worker || *task->worker == place.former) &&
+                            target != workers_.end();
+        if (needed && !task->worker && !place.until)
+        {
+            place.until = now + place_hold_time;
+        }
+        if (!needed || (place.until && now >= *place.until))
         {
             it = held_places_.erase(it);
             continue;
         }
-        target->second.reserved_room += place.room;
-        const auto step = std::find_if(waiting.begin(), waiting.end(),
-                                       [&](const candidate& next)
-                                       { return next.key == it->first.step; });
+        target->second.held_room += place.room;
+        target->second.held_leftover += place.leftover;
+        claimed_limits_[place.team] += place.need;
+        const auto step =
+            std::find_if(waiting.begin(), waiting.end(),
+                         [&step_key = key.step](const candidate& next)
+                         { return next.key == step_key; });
         if (!task->worker && step != waiting.end())
         {
-            step->reserved_room.emplace_back(&target->second, place.room);
+            step->held_places.push_back(
+                {&target->second, place.room, place.leftover});
+            step->claimed += place.need;
         }
         ++it;
     }
@@ -98,30 +114,35 @@
         find_eligible_workers(next);
         for (const int index : next.departing)
         {
-            // What the run frees of the limit may go to another step.
-            worker_record* const place = within_limit(next, 1)
-                                             ? cheapest_place(next, index, now)
-                                             : nullptr;
+            // Without room for one more in the limit, other steps of the team
+            // may be waiting for what the stop would free.
+            worker_record* const place =
+                within_limit(next, 1)
+                    ? cheapest_place(next, index, now + stop_allowance)
+                    : nullptr;
             if (place == nullptr)
             {
                 break;
             }
-            move_run(next, index, *place, now);
+            move_run(next, index, *place);
         }
     }
 }
 
-void fleet::move_run(const candidate& next, int index, worker_record& place,
-                     base::time_point now)
+void fleet::move_run(const candidate& next, int index, worker_record& place)
 {
     const jobs::task_key key{next.key, index};
     const base::worker_id& former =
         *next.record->tasks[static_cast<std::size_t>(index)].worker;
     worker_record& source = workers_.at(former);
     active_run& run = source.runs.at(key);
-    place.reserved_room += run.room;
-    held_places_[key] = {place.listing.worker, former, run.room,
-                         now + place_hold_time};
+    const std::int64_t leftover = run.uses_leftover ? run.need.cpu_milli : 0;
+    place.held_room += run.room;
+    place.held_leftover += leftover;
+    claimed_limits_[run.team] += run.need;
+    held_places_[key] = {
+        place.listing.worker, former, run.team, run.need, run.room, leftover,
+        std::nullopt};
     request_stop(source, run);
     base::log(base::log_level::info, log_part,
               "Standing task moves off a leaving worker. job={} occurrence={} "
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -80,23 +80,43 @@
     return component_max(others, base::resources());
 }
 
+// What is held on a worker for standing tasks of other steps, and for those of
+// this step that still run elsewhere.
+place_on_worker fleet::place_held_for_others(const worker_record& worker,
+                                             const candidate& next)
+{
+    place_on_worker held{&worker, worker.held_room, worker.held_leftover};
+    for (const place_on_worker& own : next.held_places)
+    {
+        if (own.worker == &worker)
+        {
+            held.room -= own.room;
+            held.leftover -= own.leftover;
+        }
+    }
+    return held;
+}
+
 bool fleet::has_room(const worker_record& worker, const candidate& next) const
 {
     const jobs::step_spec& spec = *next.spec;
     base::resources room = spec.need;
     const base::resources& capacity = worker.listing.capacity;
+    const place_on_worker held = place_held_for_others(worker, next);
     if (spec.uses_leftover)
     {
         room.cpu_milli = 0;
         // Half of the requested CPU must be free, or it would make hardly any
         // progress.
-        if (capacity.cpu_milli - worker.used.cpu_milli - worker.leftover_used <
+        if (capacity.cpu_milli - worker.used.cpu_milli - worker.leftover_used -
+                held.leftover <
             spec.need.cpu_milli / 2)
         {
             return false;
         }
     }
-    if (!(worker.used + room_reserved_by_others(worker, next) + room)
+    if (!(worker.used + room_reserved_by_others(worker, next) + held.room +
+          room)
              .fits_in(capacity))
     {
         return false;
@@ -216,6 +236,7 @@
     for (worker_record* worker : next.eligible)
     {
         if (worker->reserved_for != nullptr ||
+            place_held_for_others(*worker, next).room != base::resources() ||
             !next.spec->need.fits_in(worker->listing.capacity))
         {
             continue;
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -106,7 +106,8 @@
     for (worker_record* worker : next.eligible)
     {
         base::resources free = worker->listing.capacity - worker->used +
-                               worker->stopping_room - worker->reserved_room;
+                               worker->stopping_room - worker->reserved_room -
+                               place_held_for_others(*worker, next).room;
         if (!need.fits_in(worker->listing.capacity) ||
             !need.fits_in(free + worker->victim_room) ||
             (worker->reserved_for != nullptr &&
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -22,7 +22,7 @@
                         std::vector<order>& orders)
 {
     claimed_limits_.clear();
-    reserve_held_places(waiting, now);
+    apply_held_places(waiting, now);
     for (candidate& next : waiting)
     {
         if (next.pending.empty())
--- a/test/fleet/departure_test.cpp
+++ b/test/fleet/departure_test.cpp
@@ -29,6 +29,16 @@
     f.fleet_.list_worker(listing, f.now_);
 }
 
+// A queue of a higher priority than the first one.
+void add_urgent_queue(fleet_fixture& f)
+{
+    queue_policy urgent = f.queue_;
+    urgent.name = "urgent";
+    f.queue_.priority = 5;
+    f.other_queues_ = {urgent};
+    f.apply();
+}
+
 // Worker w runs the standing tasks of job a.
 class standing_fixture : public fleet_fixture
 {
@@ -79,6 +89,13 @@
     CPPUNIT_TEST(standing_task_stays_while_its_team_is_at_its_limit);
     CPPUNIT_TEST(standing_task_moves_once_there_is_a_ticket);
     CPPUNIT_TEST(place_of_moved_task_is_kept_for_it);
+    CPPUNIT_TEST(place_of_moved_task_is_kept_until_stop_is_answered);
+    CPPUNIT_TEST(place_of_moved_task_is_not_reserved_for_others);
+    CPPUNIT_TEST(place_of_moved_task_is_kept_beside_other_stops);
+    CPPUNIT_TEST(leftover_tasks_move_only_while_cpu_is_left);
+    CPPUNIT_TEST(place_of_cancelled_task_is_free);
+    CPPUNIT_TEST(standing_task_moves_only_with_ticket_that_outlasts_the_stop);
+    CPPUNIT_TEST(limit_of_moved_task_is_kept_for_it);
     CPPUNIT_TEST(other_tasks_stay_on_leaving_worker);
     CPPUNIT_TEST(standing_task_runs_again_once_its_lease_has_expired);
     CPPUNIT_TEST(standing_task_with_unknown_start_waits_for_late_orders);
@@ -181,6 +198,140 @@
         CPPUNIT_ASSERT(f.starts[1].worker == v);
     }
 
+    // A stop may take longer than the place is held after it.
+    void place_of_moved_task_is_kept_until_stop_is_answered()
+    {
+        standing_fixture f;
+        f.add_ready_worker("v", 1000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.advance(milliseconds(3000));
+        f.add_job("other", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        f.end_stopped_runs();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[1].task == f.starts[0].task);
+    }
+
+    // Guards against a more urgent step that reserves the whole worker.
+    void place_of_moved_task_is_not_reserved_for_others()
+    {
+        standing_fixture f;
+        add_urgent_queue(f);
+        f.add_ready_worker("v", 4000);
+        for (const char* small : {"x", "y", "z"})
+        {
+            f.add_ready_worker(small, 500);
+        }
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.add_job("other", {fleet_fixture::step(1, 4000)}, false, {}, "urgent");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+        f.end_stopped_runs();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[1].task == f.starts[0].task);
+    }
+
+    // Guards against a place that counts as free because another run on the
+    // same worker is being stopped.
+    void place_of_moved_task_is_kept_beside_other_stops()
+    {
+        standing_fixture f;
+        f.add_ready_worker("v", 2000);
+        f.add_job("b", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        f.confirm_starts();
+        CPPUNIT_ASSERT(f.starts[1].worker == v);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.fleet_.cancel_job(base::job_id("b"), f.now_);
+        f.add_job("other", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+    }
+
+    // Guards against stopping more tasks on leftover CPU than may start again.
+    void leftover_tasks_move_only_while_cpu_is_left()
+    {
+        fleet_fixture f;
+        f.add_ready_worker("w", 4000);
+        jobs::step_spec spec = standing(3);
+        spec.uses_leftover = true;
+        f.add_job("a", {spec});
+        f.run_round();
+        f.confirm_starts();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.starts.size());
+        f.add_ready_worker("v", 1000);
+        announce_departure_of(f, w);
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+    }
+
+    void place_of_cancelled_task_is_free()
+    {
+        standing_fixture f;
+        f.add_ready_worker("v", 1000);
+        f.announce_departure();
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.fleet_.cancel_job(base::job_id("a"), f.now_);
+        f.end_stopped_runs();
+        f.add_job("other", {fleet_fixture::step(1, 1000)});
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+    }
+
+    // Guards against a ticket that expires while the run is being stopped.
+    void standing_task_moves_only_with_ticket_that_outlasts_the_stop()
+    {
+        standing_fixture f;
+        f.queue_.tickets = ticket_policy();
+        f.queue_.tickets->valid_for = milliseconds(2000);
+        f.apply();
+        f.add_ready_worker("v", 4000);
+        f.announce_departure();
+        f.run_round();
+        f.fleet_.on_tickets(f.asks[0].step, f.asks[0].workers,
+                            std::vector<ticket_grant>{{v, "ticket"}},
+                            f.now_ + milliseconds(200));
+        f.run_round();
+        CPPUNIT_ASSERT(f.stops.empty());
+    }
+
+    // Guards against a more urgent step of the same team that takes what the
+    // stop frees of the limit.
+    void limit_of_moved_task_is_kept_for_it()
+    {
+        fleet_fixture f;
+        f.team_.team = base::team_id("t");
+        f.team_.limit = {2000, 0, 0};
+        add_urgent_queue(f);
+        f.add_ready_worker("w", 4000);
+        f.add_job("a", {standing(1)});
+        f.run_round();
+        f.confirm_starts();
+        f.add_ready_worker("v", 4000);
+        announce_departure_of(f, w);
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.stops.size());
+        f.add_job("b", {fleet_fixture::step(2, 1000)}, false, {}, "urgent");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.starts.size());
+        f.advance(milliseconds(100));
+        f.report(
+            "w", {},
+            {end_of(1, f.stops[0].task, f.stops[0].run, end_kind::stopped)});
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, f.starts.size());
+        CPPUNIT_ASSERT(f.starts[2].task == f.starts[0].task);
+    }
+
     // Their work would be lost, or they end in time.
     void other_tasks_stay_on_leaving_worker()
     {
