Check that standing tasks of the simulation run again in time

A standing task whose run has ended has a new run within 9 s: 6 s until the run of a lost worker has certainly ended, and 3 s until the next start. Judged only without a fault in the last 7 s of that time and with room on two workers all along them.

--- a/test/simulation/cell_departures.cpp
+++ b/test/simulation/cell_departures.cpp
@@ -1,5 +1,5 @@
 // The scenario of workers that leave: jobs with standing tasks, departures with
-// and without an announcement.
+// and without an announcement, and the progress of the standing tasks.
 
 #include "cell_simulation.hpp"
 
@@ -154,6 +154,20 @@
                 [this, zone] { add_worker(zone); });
 }
 
+// The workers that can take a task of this size.
+int cell_simulation::places_for(std::int64_t cpu_milli) const
+{
+    return static_cast<int>(std::count_if(
+        workers_.begin(), workers_.end(),
+        [&](const auto& entry)
+        {
+            const auto& [id, worker] = entry;
+            return worker.listed && worker.model->up() && !worker.leaving &&
+                   worker.cut_from.empty() &&
+                   checker_.used_cpu_milli(id) + cpu_milli <= worker_cpu;
+        }));
+}
+
 // Faults.
 
 // One round of departures and faults, with calm times before the next one.
@@ -223,6 +237,7 @@
         {
             note(fmt::format("fault: {} is lost for good", *id));
         }
+        progress_.note_fault(time_.now_ms());
         worker.model->crash();
         replace_worker(worker.zone);
         return;
@@ -287,4 +302,31 @@
     }
 }
 
+// Progress.
+
+bool cell_simulation::fault_lasts() const
+{
+    return late_orders_percent_ > 0 || lost_answers_percent_ > 0 ||
+           std::any_of(nodes_.begin(), nodes_.end(),
+                       [](const node& each)
+                       { return !each.alive || each.paused; }) ||
+           std::any_of(links_.begin(), links_.end(),
+                       [](const auto& entry) {
+                           return entry.second.extra_delay > milliseconds(0);
+                       }) ||
+           std::any_of(workers_.begin(), workers_.end(),
+                       [](const auto& entry) {
+                           return !entry.second.cut_from.empty() ||
+                                  entry.second.cut_from_store;
+                       });
+}
+
+void cell_simulation::check_progress()
+{
+    progress_.observe(time_.now_ms(), fault_lasts(), checker_,
+                      [this](std::int64_t cpu_milli)
+                      { return places_for(cpu_milli); });
+    time_.after(standing_progress::period, [this] { check_progress(); });
+}
+
 } // namespace coltsfootrack::simulation
--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -1191,6 +1191,7 @@
     {
         time_.after(milliseconds(1500), [this] { submit_standing_job(); });
         time_.after(milliseconds(5000), [this] { inject_departures(); });
+        check_progress();
     }
     run_until(time_.now() + options_.length);
     end_faults();
@@ -1222,7 +1223,10 @@
     }
     checker_.finish();
     violations_ = checker_.violations();
-    violations_.insert(violations_.end(), unfinished.begin(), unfinished.end());
+    for (const auto& more : {progress_.violations(), unfinished})
+    {
+        violations_.insert(violations_.end(), more.begin(), more.end());
+    }
 }
 
 } // namespace coltsfootrack::simulation
--- a/test/simulation/cell_simulation.hpp
+++ b/test/simulation/cell_simulation.hpp
@@ -1,6 +1,7 @@
 #ifndef COLTSFOOTRACK_TEST_SIMULATION_CELL_SIMULATION_HPP_INCLUDED
 #define COLTSFOOTRACK_TEST_SIMULATION_CELL_SIMULATION_HPP_INCLUDED
 
+#include "simulation/standing_progress.hpp"
 #include "simulation/store_model.hpp"
 #include "simulation/virtual_time.hpp"
 #include "simulation/worker_model.hpp"
@@ -75,7 +76,7 @@
 
 // The same, but leaders change only in rounds without a worker that is lost or
 // cut off without an announcement. A new leader waits for such a worker up to
-// the longest lease.
+// the longest lease, which exceeds what standing_progress allows.
 simulation_options leaving_apart_scenario(std::uint64_t seed);
 
 // A cell of daemons, a store, workers and callers in one thread and in virtual
@@ -126,6 +127,13 @@
         return departures_;
     }
 
+    // The ends of standing runs without a next one in time that were not
+    // judged.
+    int excused_gaps() const
+    {
+        return progress_.excused();
+    }
+
 private:
     // One daemon, over its lives.
     struct node
@@ -209,6 +217,7 @@
     void add_worker(const base::zone_id& zone);
     task_behaviour behaviour_of(const jobs::task_key& task);
     void list(const std::string& id, const worker_entry& worker);
+    int places_for(std::int64_t cpu_milli) const;
 
     // Callers.
     void submit_job();
@@ -228,6 +237,8 @@
     std::optional<std::string> pick_steady_worker();
     void announce_departure();
     void replace_worker(const base::zone_id& zone);
+    bool fault_lasts() const;
+    void check_progress();
     milliseconds first_clock_of(const std::string& worker,
                                 std::uint64_t life) const;
     void heal_partition();
@@ -253,6 +264,7 @@
     std::map<std::string, worker_entry> workers_;
     std::map<std::string, caller_job> jobs_;
     soak::history_checker checker_;
+    standing_progress progress_;
     int next_job_ = 0;
     int next_worker_ = 0;
     int departures_ = 0;
