--- a/test/simulation/simulation_test.cpp
+++ b/test/simulation/simulation_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(zones_cut_apart_break_no_rule);
     CPPUNIT_TEST(vm_lost_for_good_costs_no_run_while_store_is_away);
     CPPUNIT_TEST(workers_cut_off_after_restart_break_no_rule);
+    CPPUNIT_TEST(standing_tasks_run_again_in_time_while_workers_leave);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -107,7 +108,37 @@
         }
     }
 
+    // Guards against standing tasks that have no run for too long, or two runs,
+    // after a worker has left, is lost or is cut off: a task that is not moved
+    // before its worker leaves (20, 67), and with two daemons, so that nobody
+    // confirms the loss of some workers, a wait for confirmations after the
+    // lease (4, 27).
+    void standing_tasks_run_again_in_time_while_workers_leave()
+    {
+        for (const std::uint64_t seed : {1, 2, 3, 20, 67})
+        {
+            check_leaving(leaving_apart_scenario(seed));
+        }
+        for (const std::uint64_t seed : {4, 27})
+        {
+            simulation_options few = leaving_apart_scenario(seed);
+            few.daemons = 2;
+            check_leaving(few);
+        }
+    }
+
 private:
+    static void check_leaving(const simulation_options& options)
+    {
+        cell_simulation tested(options);
+        tested.run();
+        const std::string first =
+            tested.violations().empty() ? "" : tested.violations().front();
+        CPPUNIT_ASSERT_EQUAL(std::string(), first);
+        CPPUNIT_ASSERT(tested.starts() > 100);
+        CPPUNIT_ASSERT(tested.departures() > 0);
+    }
+
     static void check(std::uint64_t seed)
     {
         check(options_of(seed), 100);
