--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -103,7 +103,9 @@
 target_link_libraries(coltsfootrack-simulation PUBLIC coltsfootrack-cell)
 add_executable(simulate-cell test/simulation/main.cpp)
 target_link_libraries(simulate-cell PRIVATE coltsfootrack-simulation)
-add_executable(test-simulation test/simulation/simulation_test.cpp)
+add_executable(test-simulation
+    test/simulation/simulation_test.cpp
+    test/simulation/standing_progress_test.cpp)
 target_link_libraries(test-simulation PRIVATE
     coltsfootrack-test-main coltsfootrack-simulation)
 
