--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -96,13 +96,16 @@
 
 # The simulation of a cell in virtual time; tools/simulate.
 add_library(coltsfootrack-simulation STATIC
-    test/simulation/cell_simulation.cpp test/simulation/store_model.cpp
+    test/simulation/cell_departures.cpp test/simulation/cell_simulation.cpp
+    test/simulation/standing_progress.cpp test/simulation/store_model.cpp
     test/simulation/worker_model.cpp test/soak/history_checker.cpp)
 target_include_directories(coltsfootrack-simulation PUBLIC test)
 target_link_libraries(coltsfootrack-simulation PUBLIC coltsfootrack-cell)
 add_executable(simulate-cell test/simulation/main.cpp)
 target_link_libraries(simulate-cell PRIVATE coltsfootrack-simulation)
-add_executable(test-simulation test/simulation/simulation_test.cpp)
+add_executable(test-simulation
+    test/simulation/simulation_test.cpp
+    test/simulation/standing_progress_test.cpp)
 target_link_libraries(test-simulation PRIVATE
     coltsfootrack-test-main coltsfootrack-simulation)
 
