Wait less for a worker that announced its departure before a takeover

Callers would see standing tasks without a run for longer than 9 s after a change of leaders, if no daemon near a worker that has left confirms that it does not answer.

Cause: such a worker was waited for like one that may have restarted, including calls that a later life carries out late. A worker that leaves has no later life, so only the lease that leaders grant counts, from the time until which a call of the former leader may arrive.

--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -270,10 +270,12 @@
         const bool runs_unknown = !worker.synced && !is_lost(worker);
         round.runs_unknown =
             round.runs_unknown || runs_unknown || !list_complete_;
-        // A start of a former leader may be carried out late.
+        // A call of a former leader may arrive late, and a later life of the
+        // worker carry it out late. A worker that leaves has no later life.
+        const auto late = worker.listing.leaving ? options_.lease_delivery
+                                                 : options_.late_order;
         const bool lease_unknown =
-            runs_unknown &&
-            !worker.lease.expired(now - options_.late_order, leader_since_);
+            runs_unknown && !lease_expired(worker, now - late);
         round.leases_unknown =
             round.leases_unknown || !list_complete_ || lease_unknown;
         if (lease_unknown || worker.unknown_size_runs > 0)
--- a/test/fleet/departure_test.cpp
+++ b/test/fleet/departure_test.cpp
@@ -101,6 +101,7 @@
     CPPUNIT_TEST(standing_task_with_unknown_start_waits_for_late_orders);
     CPPUNIT_TEST(standing_task_in_a_later_life_waits_for_its_lease);
     CPPUNIT_TEST(inherited_standing_task_waits_for_late_orders);
+    CPPUNIT_TEST(inherited_standing_task_waits_briefly_for_departed_worker);
     CPPUNIT_TEST(inherited_standing_task_waits_for_leases_only);
     CPPUNIT_TEST(standing_task_stays_if_other_place_takes_no_second_one);
     CPPUNIT_TEST_SUITE_END();
@@ -410,6 +411,27 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
     }
 
+    // Guards against standing tasks without a run after a change of leaders in
+    // a release. A worker that announced its departure does not restart, so
+    // that no late call can grant it a lease.
+    void inherited_standing_task_waits_briefly_for_departed_worker()
+    {
+        fleet_fixture f(2);
+        f.add_worker("w", 4000);
+        announce_departure_of(f, w);
+        f.add_ready_worker("v", 4000);
+        f.add_job("a", {standing(1)}, true);
+        f.fail_renewals("w", 1, false);
+        f.advance(milliseconds(6700));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT(f.starts.empty());
+        f.advance(milliseconds(100));
+        f.report("v");
+        f.run_round();
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts.size());
+    }
+
     // Guards against two runs of a task: a later life of the worker may carry
     // out a start of the former leader up to 12 s late.
     void inherited_standing_task_waits_for_late_orders()
