--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -382,7 +382,9 @@
     std::vector<base::worker_id> workers_to_ask(const candidate& next) const;
 
     // A place on a worker, and the part of the limit of its team, for a
-    // standing task that moves there.
+    // standing task that moves there. `room` counts against the worker's
+    // capacity and `leftover`, in thousandths of a core, against what that
+    // leaves; `need` counts against the limit.
     struct held_place
     {
         base::worker_id worker;
@@ -419,6 +421,8 @@
     std::map<jobs::task_key, base::time_point> standing_gaps_;
     base::time_point standing_checked_at_;
     std::map<base::team_id, share_limiter> shares_;
+    // The places of standing tasks that are being stopped on a worker which
+    // leaves, or have been and have not started again.
     std::map<jobs::task_key, held_place> held_places_;
     // For the current round: the standing tasks on workers that leave.
     std::map<jobs::step_key, std::vector<int>> departing_;
--- a/include/coltsfootrack/fleet/service_round.hpp
+++ b/include/coltsfootrack/fleet/service_round.hpp
@@ -23,7 +23,7 @@
     bool runs_unknown = false;
     // The lease of such a worker may be in force, so that inherited standing
     // tasks wait as well.
-    bool leases_unknown = false;
+    bool lease_possible = false;
     // Steps that could not be placed so far.
     std::size_t steps_without_room = 0;
     // Workers reserved for one step so far.
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -112,7 +112,7 @@
                     const service_round& round)
 {
     return job.inherited &&
-           (spec.standing ? round.leases_unknown : round.runs_unknown);
+           (spec.standing ? round.lease_possible : round.runs_unknown);
 }
 
 } // namespace
@@ -274,11 +274,11 @@
         // worker carry it out late. A worker that leaves has no later life.
         const auto late = worker.listing.leaving ? options_.lease_delivery
                                                  : options_.late_order;
-        const bool lease_unknown =
+        const bool lease_possible =
             runs_unknown && !lease_expired(worker, now - late);
-        round.leases_unknown =
-            round.leases_unknown || !list_complete_ || lease_unknown;
-        if (lease_unknown || worker.unknown_size_runs > 0)
+        round.lease_possible =
+            round.lease_possible || !list_complete_ || lease_possible;
+        if (lease_possible || worker.unknown_size_runs > 0)
         {
             unknown_usage_ += worker.listing.capacity;
         }
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -175,8 +175,9 @@
 }
 
 // Drops the standing runs of a worker that does not answer, once their lease
-// has expired. Such a run has no end as done that may wait to be read, so
-// unlike others it needs no evidence that the worker is lost.
+// has expired. Others wait until the worker is lost, since they may have ended
+// as done before, in a report that was not read. A standing run has no such
+// end.
 void fleet::drop_expired_standing_runs(worker_record& worker,
                                        base::time_point now)
 {
