Let no read succeed while the tested leader is isolated

Cause, in the test: the stand-in answered reads while the leader counted as isolated. If a round ran before the test stored the later leader row, the leader read the old row, found itself confirmed, and read no more. A leader is isolated only while the store does not answer, so the product does not meet this order.

Shown by a run: with 300 ms between the isolation and the row the former test failed each time it was run (once), with the same assertion; the corrected one passes with the same delay, and without it four times of four side by side. What it checks is the same.

--- a/test/cell/paused_leader_test.cpp
+++ b/test/cell/paused_leader_test.cpp
@@ -108,12 +108,19 @@
     void leader_replaced_while_isolated_orders_nothing_afterwards()
     {
         paused_leader f;
-        f.harness.run([&] { f.harness.set_isolated(true); });
+        // An isolated leader has no answer of the store.
+        f.harness.run(
+            [&]
+            {
+                f.harness.answer_reads(false);
+                f.harness.set_isolated(true);
+            });
         f.harness.send_job("second", epoch);
         f.harness.run(
             [&]
             {
                 f.harness.put_leader_row(epoch + 1);
+                f.harness.answer_reads(true);
                 f.harness.set_isolated(false);
             });
         CPPUNIT_ASSERT(f.harness.wait_lost(soon));
