--- a/test/fleet/log_test.cpp
+++ b/test/fleet/log_test.cpp
@@ -52,7 +52,7 @@
         CPPUNIT_ASSERT(name_of(order_outcome::unknown) == "unknown");
     }
 
-    // Guards against gaps in a service whose cause cannot be told afterwards.
+    // Guards against a log that does not show why a standing task had no run.
     void standing_task_without_run_is_logged_with_its_cause()
     {
         const log_capture log;
--- a/test/simulation/simulation_test.cpp
+++ b/test/simulation/simulation_test.cpp
@@ -108,11 +108,11 @@
         }
     }
 
-    // Guards against standing tasks that have no run for too long, or two runs,
-    // after a worker has left, is lost or is cut off: a task that is not moved
-    // before its worker leaves (20, 67), and with two daemons, so that nobody
-    // confirms the loss of some workers, a wait for confirmations after the
-    // lease (4, 27).
+    // Guards against standing tasks without a run for longer than 9 s, and
+    // against two runs of one, while workers leave, are lost or are cut off.
+    // Seeds 20 and 67 find a task that stays on a leaving worker. With two
+    // daemons no peer is near some workers, so that seeds 4 and 27 find a wait
+    // for the confirmation of a loss.
     void standing_tasks_run_again_in_time_while_workers_leave()
     {
         for (const std::uint64_t seed : {1, 2, 3, 20, 67})
