--- a/review/standins-2/cell.py
+++ b/review/standins-2/cell.py
@@ -647,12 +647,16 @@
     if it held, 2 if the case could not run."""
     async def run():
         # Connections that are open at the end are cut without a message.
-        asyncio.get_running_loop().set_exception_handler(lambda *ignored: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *ignored: None)
+        # The daemons end with the script, also if it is ended from outside.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         return await asyncio.wait_for(case(), 115)
 
     try:
         status = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__} {error}")
         status = 2
     sys.exit(status)
