Reserve no worker for a step that cannot use it

Cause: a step without room reserves the worker with the most free capacity. Only the size of one task against the whole worker was checked, not the limit of the step for each worker. Urgent steps set room aside, and preempted runs, without that check too. The same reservation is useless, and lasts as long, if standing tasks or very long runs leave too little room beside them.

Change: a worker is reserved only if the step is below its limit there and the task has room beside runs that do not end soon: standing ones, and those that are expected to last for more than 10 s. Room is set aside within the limit. Reservations are made anew in each round from the known runs, so this holds after a change of leaders as well.

--- a/include/coltsfootrack/fleet/active_run.hpp
+++ b/include/coltsfootrack/fleet/active_run.hpp
@@ -52,6 +52,8 @@
     // An orphan of an unknown job, so that its resources are unknown.
     bool size_unknown = false;
     bool standing = false;
+    // The estimated time that the whole task takes.
+    base::duration estimate{0};
     bool uses_leftover = false;
     double latency_target_ms = 0;
     // The priority of its queue; 0 is the highest.
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -356,7 +356,13 @@
     void order_start(const candidate& next, int index, worker_record& worker,
                      std::uint64_t run, base::time_point now,
                      std::vector<order>& orders);
+    bool below_limit_per_worker(const worker_record& worker,
+                                const candidate& next, int planned) const;
     void reserve_worker(const candidate& next);
+    void collect_lasting_usage(service_round& round) const;
+    bool lasts(const active_run& run) const;
+    bool has_room_soon(const worker_record& worker,
+                       const candidate& next) const;
     void find_schedulable_workers(base::time_point now);
     void collect_lapsed_usage(const worker_record& worker,
                               base::time_point now);
--- a/include/coltsfootrack/fleet/fleet_options.hpp
+++ b/include/coltsfootrack/fleet/fleet_options.hpp
@@ -93,6 +93,9 @@
     int stall_percents = 8;
     // The most workers of a service that are reserved for waiting steps.
     double max_reserved_fraction = 0.25;
+    // A worker is reserved only if the runs that are in the way are expected to
+    // end within this time.
+    milliseconds reservation_wait{10000};
 };
 
 } // namespace coltsfootrack::fleet
--- a/include/coltsfootrack/fleet/service_round.hpp
+++ b/include/coltsfootrack/fleet/service_round.hpp
@@ -18,6 +18,8 @@
     base::resources max_room;
     // Whether worker_record::victims is filled in.
     bool victims_collected = false;
+    // The same for worker_record::lasting_room and lasting_leftover.
+    bool lasting_collected = false;
     // Some worker may have runs that this leader does not know of, so that
     // inherited jobs wait.
     bool runs_unknown = false;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -118,6 +118,10 @@
     std::int64_t held_leftover = 0;
     std::vector<run_map::iterator> victims;
     base::resources victim_room;
+    // What runs that do not end soon use, as room and as leftover capacity in
+    // thousandths of a core.
+    base::resources lasting_room;
+    std::int64_t lasting_leftover = 0;
     // When the throttling of tasks on leftover capacity last changed.
     base::time_point paced_at;
 
--- a/src/fleet/candidate.hpp
+++ b/src/fleet/candidate.hpp
@@ -6,8 +6,8 @@
 #include <coltsfootrack/fleet/service_round.hpp>
 #include <coltsfootrack/jobs/step_key.hpp>
 
+#include <map>
 #include <tuple>
-#include <utility>
 #include <vector>
 
 namespace coltsfootrack::fleet
@@ -21,6 +21,14 @@
     std::int64_t leftover = 0;
 };
 
+// What a step has reserved on a worker.
+struct reserved_place
+{
+    base::resources room;
+    // The tasks that the room is for.
+    int tasks = 0;
+};
+
 // A step that has tasks to start, or will soon.
 struct candidate
 {
@@ -38,9 +46,9 @@
     // label and, where it needs one, a ticket, expired or not. Ordered by
     // number if it needs tickets, otherwise by id.
     std::vector<worker_record*> eligible;
-    // What it has reserved in this round: room on workers, and a part of the
-    // limit of its team.
-    std::vector<std::pair<const worker_record*, base::resources>> reserved_room;
+    // What it has reserved in this round: places on workers, by
+    // worker_record::number, and a part of the limit of its team.
+    std::map<int, reserved_place> reserved;
     base::resources claimed;
     // The places that are held for its pending tasks, the same as in
     // worker_record::held_room and held_leftover.
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <utility>
 
 namespace coltsfootrack::fleet
 {
@@ -70,12 +71,10 @@
         return {};
     }
     base::resources others = worker.reserved_room - worker.stopping_room;
-    for (const auto& [own, room] : next.reserved_room)
+    const auto own = next.reserved.find(worker.number);
+    if (own != next.reserved.end())
     {
-        if (own == &worker)
-        {
-            others -= room;
-        }
+        others -= own->second.room;
     }
     return component_max(others, base::resources());
 }
@@ -125,15 +124,25 @@
     {
         return false;
     }
-    if (spec.max_per_worker <= 0)
+    return below_limit_per_worker(worker, next, 0);
+}
+
+// Whether a step may have one more task on a worker, besides those that run or
+// move there, and `planned` others.
+bool fleet::below_limit_per_worker(const worker_record& worker,
+                                   const candidate& next, int planned) const
+{
+    const int limit = next.spec->max_per_worker;
+    if (limit <= 0)
     {
         return true;
     }
     const auto first = worker.runs.lower_bound({next.key, 0});
     const auto last =
         worker.runs.upper_bound({next.key, std::numeric_limits<int>::max()});
-    return std::distance(first, last) + tasks_moving_to(worker, next.key) <
-           spec.max_per_worker;
+    return std::distance(first, last) + tasks_moving_to(worker, next.key) +
+               planned <
+           limit;
 }
 
 bool fleet::has_ticket(const worker_record& worker, const candidate& next,
@@ -219,8 +228,62 @@
     return cost;
 }
 
+// Collects what is used on each worker of a service by runs that do not end
+// soon: standing ones, and those whose estimate says so.
+void fleet::collect_lasting_usage(service_round& round) const
+{
+    if (std::exchange(round.lasting_collected, true))
+    {
+        return;
+    }
+    for (worker_record* worker : round.schedulable)
+    {
+        worker->lasting_room = base::resources();
+        worker->lasting_leftover = 0;
+        for (const auto& [key, run] : worker->runs)
+        {
+            if (!lasts(run))
+            {
+                continue;
+            }
+            worker->lasting_room += run.room;
+            worker->lasting_leftover +=
+                run.uses_leftover ? run.need.cpu_milli : 0;
+        }
+    }
+}
+
+// Whether a run keeps its room for longer than a reservation may wait for it.
+bool fleet::lasts(const active_run& run) const
+{
+    if (run.phase == run_phase::stopping)
+    {
+        return false;
+    }
+    constexpr int percents = 100;
+    return run.standing || run.estimate * (percents - run.percent) / percents >
+                               options_.reservation_wait;
+}
+
+// Whether a task has room on a worker once all runs that end soon have ended.
+bool fleet::has_room_soon(const worker_record& worker,
+                          const candidate& next) const
+{
+    const place_on_worker held = place_held_for_others(worker, next);
+    const base::resources free =
+        worker.listing.capacity - worker.lasting_room - held.room;
+    base::resources need = next.spec->need;
+    if (next.spec->uses_leftover)
+    {
+        need.cpu_milli =
+            need.cpu_milli / 2 + worker.lasting_leftover + held.leftover;
+    }
+    return need.fits_in(free) && below_limit_per_worker(worker, next, 0);
+}
+
 // Reserves the worker with the most free capacity for this step, so that later
-// steps do not use it.
+// steps do not use it. A worker that the step can't use soon stays open: it
+// would be kept from all others for nothing.
 void fleet::reserve_worker(const candidate& next)
 {
     service_round& round = *next.round;
@@ -231,13 +294,14 @@
     {
         return;
     }
+    collect_lasting_usage(round);
     worker_record* best = nullptr;
     base::resources best_free;
     for (worker_record* worker : next.eligible)
     {
         if (worker->reserved_for != nullptr ||
             place_held_for_others(*worker, next).room != base::resources() ||
-            !next.spec->need.fits_in(worker->listing.capacity))
+            !has_room_soon(*worker, next))
         {
             continue;
         }
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -102,6 +102,11 @@
         std::size_t stopped = std::numeric_limits<std::size_t>::max();
     };
     const base::resources& need = next.spec->need;
+    const auto reserved_tasks = [&next](const worker_record& worker)
+    {
+        const auto own = next.reserved.find(worker.number);
+        return own == next.reserved.end() ? 0 : own->second.tasks;
+    };
     option best;
     for (worker_record* worker : next.eligible)
     {
@@ -110,6 +115,7 @@
                                place_held_for_others(*worker, next).room;
         if (!need.fits_in(worker->listing.capacity) ||
             !need.fits_in(free + worker->victim_room) ||
+            !below_limit_per_worker(*worker, next, reserved_tasks(*worker)) ||
             (worker->reserved_for != nullptr &&
              worker->reserved_for != next.record))
         {
@@ -141,7 +147,9 @@
         return false;
     }
     best.worker->reserved_room += need;
-    next.reserved_room.emplace_back(best.worker, need);
+    reserved_place& place = next.reserved[best.worker->number];
+    place.room += need;
+    ++place.tasks;
     for (const auto victim : best.victims)
     {
         const jobs::task_key& key = victim->first;
--- a/src/fleet/fleet_runs.cpp
+++ b/src/fleet/fleet_runs.cpp
@@ -52,6 +52,7 @@
     run.need = spec.need;
     run.room = spec.need;
     run.standing = spec.standing;
+    run.estimate = spec.estimate;
     run.uses_leftover = spec.uses_leftover;
     run.latency_target_ms = static_cast<double>(spec.latency_target.count());
     run.team = job.submission.team;
