Take no entry of another writer for a worker

Cause: an entry counted as a worker if the fields that the cell uses were right. The leader stored that "worker" among those that may hold a lease, and each later leader waited for its report before it went on with inherited jobs. The capacity of an entry of any service counted as used by every team with a limit for as long.

A worker whose service no catalogue has named is set aside, and not stored, until one does. Nothing changes for workers that a former leader has stored.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -153,6 +153,7 @@
     void apply_job_rows(const std::vector<stored_row>& rows);
     void apply_worker_rows(const std::vector<stored_row>& rows,
                            bool is_snapshot);
+    bool names_service(const base::service_id& service) const;
     void list_worker(const fleet::worker_listing& listing);
     void unlist_worker(const base::worker_id& id);
     void list_stored_workers();
@@ -228,7 +229,9 @@
     // The versions of the rows of jobs that are not final.
     std::map<base::job_id, std::uint64_t> job_versions_;
     worker_roster roster_;
-    // Listed workers that no stored row names yet; they are not used.
+    std::shared_ptr<const fleet::catalogue> catalogue_;
+    // Listed workers that no stored row names yet, or whose service no
+    // catalogue has named so far; they are not used.
     std::map<base::worker_id, fleet::worker_listing> unstored_workers_;
     std::map<base::worker_id, renewal_state> renewals_;
     // What daemons stored before the jobs were loaded.
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -87,8 +87,10 @@
 
 void leadership::set_catalogue(std::shared_ptr<const fleet::catalogue> value)
 {
+    catalogue_ = value;
     fleet_.set_catalogue(std::move(value));
-    request_round();
+    // It may name the service of a worker that was set aside.
+    list_stored_workers();
 }
 
 void leadership::on_job(const base::job_id& id, const std::string& row)
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -374,15 +374,37 @@
     request_round();
 }
 
-// A worker is used only once a stored row names it.
+bool leadership::names_service(const base::service_id& service) const
+{
+    return catalogue_ && catalogue_->services.count(service) != 0;
+}
+
+// A worker is used only once a stored row names it, and stored only once its
+// service is known. An entry of any other service may come from another writer;
+// the next leader would wait for its answer.
 void leadership::list_worker(const fleet::worker_listing& listing)
 {
+    if (!roster_.stored(listing.worker) && !names_service(listing.service))
+    {
+        const bool added =
+            unstored_workers_.insert_or_assign(listing.worker, listing).second;
+        if (added)
+        {
+            metrics_.count_event("worker_service_unknown");
+            base::log(base::log_level::warning, log_part,
+                      "Worker not used: no catalogue names its service. "
+                      "worker={} service={}",
+                      listing.worker.text(), listing.service.text());
+        }
+        return;
+    }
     roster_.add(listing);
     if (!roster_.stored(listing.worker))
     {
         unstored_workers_[listing.worker] = listing;
         return;
     }
+    unstored_workers_.erase(listing.worker);
     renewals_.try_emplace(listing.worker);
     fleet_.list_worker(listing, clock_.now());
 }
@@ -400,7 +422,8 @@
 
 void leadership::list_stored_workers()
 {
-    for (const auto& [id, listing] : std::exchange(unstored_workers_, {}))
+    const auto waiting = unstored_workers_;
+    for (const auto& [id, listing] : waiting)
     {
         list_worker(listing);
     }
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -15,7 +15,10 @@
 constexpr const char* worker_table = "workers";
 // The row of a worker that announces its departure.
 constexpr const char* leaving_value = "leaving";
+// The row of a worker of a service that no catalogue names.
+constexpr const char* other_service_value = "other";
 const base::service_id service("s");
+const base::service_id other_service("o");
 
 } // namespace
 
@@ -59,16 +62,48 @@
     leadership_ =
         std::make_unique<leadership>(loop_, clock_, options, ports_, layout_,
                                      metrics_, epoch, std::move(callbacks));
+    apply_catalogue();
+    thread_ = std::thread([this] { loop_.run(); });
+}
+
+void leadership_harness::apply_catalogue()
+{
     auto value = std::make_shared<fleet::catalogue>();
-    value->version = 1;
+    value->version = ++catalogue_version_;
     fleet::queue_policy queue;
     queue.name = "q";
     queue.service = service;
     queue.max_attempts = 3;
     value->queues["q"] = queue;
     value->services[service].service = service;
+    if (other_service_named_)
+    {
+        value->services[other_service].service = other_service;
+    }
+    if (!team_.team.empty())
+    {
+        value->teams[team_.team] = team_;
+    }
     leadership_->set_catalogue(value);
-    thread_ = std::thread([this] { loop_.run(); });
+}
+
+void leadership_harness::add_worker_of_other_service(const std::string& id)
+{
+    store_.put({worker_table, "", id}, other_service_value);
+    unresponsive_.insert(id);
+}
+
+void leadership_harness::name_other_service()
+{
+    other_service_named_ = true;
+    apply_catalogue();
+}
+
+void leadership_harness::limit_team(std::int64_t cpu_milli)
+{
+    team_.team = base::team_id("t");
+    team_.limit = {cpu_milli, 0, 0};
+    run([this] { apply_catalogue(); });
 }
 
 leadership_harness::~leadership_harness()
@@ -142,7 +177,8 @@
     {
         fleet::worker_listing listing;
         listing.worker = base::worker_id(key);
-        listing.service = service;
+        listing.service =
+            value == other_service_value ? other_service : service;
         listing.capacity = {8000, 8000, 0};
         listing.leaving = value == leaving_value;
         return listing;
@@ -342,6 +378,7 @@
 {
     jobs::job_submission job;
     job.queue = "q";
+    job.team = team_.team;
     job.leader_epoch = leader_epoch;
     jobs::step_spec step;
     step.tasks = tasks_;
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -37,6 +37,17 @@
     void add_worker(const std::string& id, bool answers);
     void put_job(const std::string& id, std::uint64_t leader_epoch);
 
+    // Adds a worker of a service that the catalogue does not name; it does not
+    // answer.
+    void add_worker_of_other_service(const std::string& id);
+
+    // From now on the catalogue names that service. Call inside run().
+    void name_other_service();
+
+    // Jobs belong to a team that may use this much, in thousandths of a core.
+    // Call before begin().
+    void limit_team(std::int64_t cpu_milli);
+
     // Stores that a former leader has used a worker, which is not listed and
     // does not answer.
     void put_used_worker(const std::string& id);
@@ -192,6 +203,7 @@
     void commit();
     bool is_stored(const base::worker_id& worker) const;
     std::string job_row(std::uint64_t leader_epoch) const;
+    void apply_catalogue();
 
     base::system_clock clock_;
     row_layout layout_;
@@ -212,6 +224,9 @@
     bool reads_answered_ = true;
     int leases_ = 0;
     bool unstored_worker_used_ = false;
+    fleet::team_policy team_;
+    bool other_service_named_ = false;
+    std::uint64_t catalogue_version_ = 0;
     ports ports_;
     std::vector<row_committer> committers_;
     std::unique_ptr<leadership> leadership_;
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_is_read);
     CPPUNIT_TEST(leader_inherited_job_waits_for_used_worker_off_the_list);
     CPPUNIT_TEST(leader_worker_is_stored_before_it_is_used);
+    CPPUNIT_TEST(leader_worker_of_unknown_service_uses_up_no_limit);
+    CPPUNIT_TEST(leader_worker_of_unknown_service_is_used_once_named);
     CPPUNIT_TEST(leader_departed_worker_is_not_waited_for);
     CPPUNIT_TEST(leader_worker_with_unstored_end_is_not_asked_at_each_write);
     CPPUNIT_TEST(leader_isolated_grants_no_lease_and_starts_nothing);
@@ -174,6 +176,40 @@
         harness.run([&] { CPPUNIT_ASSERT(!harness.unstored_worker_used()); });
     }
 
+    // Guards against the entry of another writer (review/9) whose capacity
+    // counts as used by every team with a limit after a takeover.
+    void leader_worker_of_unknown_service_uses_up_no_limit()
+    {
+        leadership_harness harness(epoch);
+        harness.limit_team(2000);
+        harness.add_worker("w1", true);
+        harness.add_worker_of_other_service("odd");
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        harness.send_job("own", epoch);
+        CPPUNIT_ASSERT(harness.wait_started("own", soon));
+        CPPUNIT_ASSERT(!harness.wait_stored("odd", milliseconds(100)));
+    }
+
+    // Guards against workers that stay unused though the catalogue names their
+    // service later.
+    void leader_worker_of_unknown_service_is_used_once_named()
+    {
+        leadership_harness harness(epoch);
+        harness.add_worker("w1", true);
+        harness.add_worker_of_other_service("later");
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        CPPUNIT_ASSERT(!harness.wait_stored("later", milliseconds(100)));
+        harness.run(
+            [&]
+            {
+                harness.answer_again("later");
+                harness.name_other_service();
+            });
+        CPPUNIT_ASSERT(harness.wait_stored("later", soon));
+    }
+
     // Many workers may leave at short notice shortly before the leader is lost.
     // One that did not announce it may be cut off, with its tasks running.
     void leader_departed_worker_is_not_waited_for()
--- a/test/platform/documents_test.cpp
+++ b/test/platform/documents_test.cpp
@@ -132,6 +132,7 @@
 {
     CPPUNIT_TEST_SUITE(documents_test);
     CPPUNIT_TEST(listing_valid_sets_every_field);
+    CPPUNIT_TEST(listing_optional_fields_may_be_there);
     CPPUNIT_TEST(listing_draining_is_leaving);
     CPPUNIT_TEST(listing_invalid_field_is_an_error);
     CPPUNIT_TEST(listing_malformed_text_is_an_error);
@@ -170,6 +171,25 @@
         CPPUNIT_ASSERT(*listing == expected);
     }
 
+    // Guards against runners that are not used for a field that only some
+    // entries have, or for a number with a fraction.
+    void listing_optional_fields_may_be_there()
+    {
+        const std::vector<document_change> changes = {
+            {"/born", 1764950000000},
+            {"/remaining_ms", 2500},
+            {"/clock_ms", nullptr},
+            {"/cold_left_ms", 12.5},
+            {"/other", json::array({"x"})}};
+        for (const document_change& change : changes)
+        {
+            CPPUNIT_ASSERT_MESSAGE(
+                change.path,
+                read_listing("i-1", with_change(valid_listing(), change).dump())
+                    .ok());
+        }
+    }
+
     void listing_draining_is_leaving()
     {
         const auto listing = read_listing(
@@ -178,7 +198,9 @@
         CPPUNIT_ASSERT(listing->leaving);
     }
 
-    // Guards against taking rows of other writers for workers.
+    // Guards against taking rows of other writers for workers: a new leader
+    // waits for each of those (review/9). No field may be missing, or have
+    // another type, whether it is used here or not.
     void listing_invalid_field_is_an_error()
     {
         const std::vector<document_change> changes = {
@@ -217,7 +239,27 @@
             {"/capacity/gpus", -8},
             {"/labels", nullptr},
             {"/labels", "a"},
-            {"/labels", json::array({1, 2})}};
+            {"/labels", json::array({1, 2})},
+            {"/capacity/gpus", nullptr},
+            {"/capacity/gpus", true},
+            {"/version", nullptr},
+            {"/version", 1},
+            {"/version", json::array({"v1"})},
+            {"/slots", nullptr},
+            {"/slots", "8"},
+            {"/slots", -8},
+            {"/slots", 1e300},
+            {"/slots", json::object()},
+            {"/cold_left_ms", nullptr},
+            {"/cold_left_ms", "0"},
+            {"/cold_left_ms", -1},
+            {"/call_seq", nullptr},
+            {"/call_seq", "4"},
+            {"/call_seq", false},
+            {"/born", "1764950000000"},
+            {"/born", -1},
+            {"/clock_ms", "482113"},
+            {"/remaining_ms", json::array()}};
         for (const document_change& change : changes)
         {
             const auto listing = read_listing(
