Keep nothing from others for a gang that cannot start with it

Cause: room was set aside, and runs were preempted, for one task of a gang after the other, before it was known that all of them have a place. A gang starts as a whole, so that room stayed unused. A whole worker was reserved for it as well. Likewise a step that is no gang claimed the limit of its team for all of its tasks, and preempted runs of the team for them, if only one had a place.

Change: the places of a gang are planned as a whole, and taken for all tasks or none. The limit is claimed for tasks with a place. A count of the places comes first, so that large gangs that wait cost little in each round.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -216,6 +216,16 @@
         std::vector<stoppable_run> stops;
     };
 
+    // The runs to preempt so that tasks of a step have room: how many tasks,
+    // the runs, and what they free on each worker, by worker_record::number.
+    struct room_plan
+    {
+        int tasks = 0;
+        std::vector<stoppable_run> stops;
+        std::set<const active_run*> chosen;
+        std::map<int, base::resources> freed;
+    };
+
     // Jobs.
     job_record* find_job(const base::job_id& id);
     step_record* find_step(const jobs::step_key& key);
@@ -337,6 +347,9 @@
                      std::vector<order>& orders);
     bool start_single(candidate& next, base::time_point now,
                       std::vector<order>& orders);
+    int count_places(const candidate& next,
+                     const std::vector<worker_record*>& workers,
+                     int most) const;
     bool start_gang(candidate& next, base::time_point now,
                     std::vector<order>& orders);
     worker_record* cheapest_place(const candidate& next, int index,
@@ -356,13 +369,14 @@
     void order_start(const candidate& next, int index, worker_record& worker,
                      std::uint64_t run, base::time_point now,
                      std::vector<order>& orders);
+    int tasks_on(const worker_record& worker, const jobs::step_key& step) const;
     bool below_limit_per_worker(const worker_record& worker,
                                 const candidate& next, int planned) const;
-    void reserve_worker(const candidate& next);
+    void reserve_workers(const candidate& next);
     void collect_lasting_usage(service_round& round) const;
     bool lasts(const active_run& run) const;
-    bool has_room_soon(const worker_record& worker,
-                       const candidate& next) const;
+    int places_soon(const worker_record& worker, const candidate& next,
+                    int most) const;
     void find_schedulable_workers(base::time_point now);
     void collect_lapsed_usage(const worker_record& worker,
                               base::time_point now);
@@ -376,8 +390,12 @@
 
     // Preemption.
     void make_room(candidate& next, base::time_point now);
-    bool make_room_for_one(candidate& next);
-    limit_plan plan_limit(const candidate& next, base::time_point now);
+    bool may_make_room(const candidate& next, int tasks) const;
+    bool plan_place(candidate& next, room_plan& plan);
+    void drop_places(candidate& next);
+    void preempt(const candidate& next, const room_plan& plan);
+    limit_plan plan_limit(const candidate& next, int tasks,
+                          base::time_point now);
     void claim_limit(candidate& next, const limit_plan& plan);
     void collect_victims(service_round& round, base::time_point now);
 
--- a/src/fleet/fleet_placement.cpp
+++ b/src/fleet/fleet_placement.cpp
@@ -1,6 +1,7 @@
 // Where a task may run, and the cost of placing it there.
 
 #include "candidate.hpp"
+#include "count_fitting.hpp"
 #include "placement_cost.hpp"
 
 #include <coltsfootrack/fleet/fleet.hpp>
@@ -8,7 +9,9 @@
 #include <algorithm>
 #include <iterator>
 #include <limits>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace coltsfootrack::fleet
 {
@@ -127,22 +130,24 @@
     return below_limit_per_worker(worker, next, 0);
 }
 
+// The tasks of a step that run on a worker or move there.
+int fleet::tasks_on(const worker_record& worker,
+                    const jobs::step_key& step) const
+{
+    const auto first = worker.runs.lower_bound({step, 0});
+    const auto last =
+        worker.runs.upper_bound({step, std::numeric_limits<int>::max()});
+    return static_cast<int>(std::distance(first, last)) +
+           tasks_moving_to(worker, step);
+}
+
 // Whether a step may have one more task on a worker, besides those that run or
 // move there, and `planned` others.
 bool fleet::below_limit_per_worker(const worker_record& worker,
                                    const candidate& next, int planned) const
 {
     const int limit = next.spec->max_per_worker;
-    if (limit <= 0)
-    {
-        return true;
-    }
-    const auto first = worker.runs.lower_bound({next.key, 0});
-    const auto last =
-        worker.runs.upper_bound({next.key, std::numeric_limits<int>::max()});
-    return std::distance(first, last) + tasks_moving_to(worker, next.key) +
-               planned <
-           limit;
+    return limit <= 0 || tasks_on(worker, next.key) + planned < limit;
 }
 
 bool fleet::has_ticket(const worker_record& worker, const candidate& next,
@@ -265,59 +270,87 @@
                                options_.reservation_wait;
 }
 
-// Whether a task has room on a worker once all runs that end soon have ended.
-bool fleet::has_room_soon(const worker_record& worker,
-                          const candidate& next) const
+// How many tasks of a step have room on a worker once all runs that end soon
+// have ended, at most `most`.
+int fleet::places_soon(const worker_record& worker, const candidate& next,
+                       int most) const
 {
     const place_on_worker held = place_held_for_others(worker, next);
-    const base::resources free =
+    base::resources free =
         worker.listing.capacity - worker.lasting_room - held.room;
     base::resources need = next.spec->need;
     if (next.spec->uses_leftover)
     {
-        need.cpu_milli =
-            need.cpu_milli / 2 + worker.lasting_leftover + held.leftover;
+        free.cpu_milli -= worker.lasting_leftover + held.leftover;
+        need.cpu_milli /= 2;
     }
-    return need.fits_in(free) && below_limit_per_worker(worker, next, 0);
+    const int limit = next.spec->max_per_worker;
+    const int allowed =
+        limit <= 0 ? most
+                   : std::clamp(limit - tasks_on(worker, next.key), 0, most);
+    return count_fitting(free, need, allowed);
 }
 
-// Reserves the worker with the most free capacity for this step, so that later
-// steps do not use it. A worker that the step can't use soon stays open: it
-// would be kept from all others for nothing.
-void fleet::reserve_worker(const candidate& next)
+// Reserves the workers with the most free capacity for this step, so that later
+// steps do not use them: one, or for a gang as many as it needs. Nothing is
+// reserved that would be kept from the others for nothing, since the step, or a
+// task of the gang, has no place soon.
+void fleet::reserve_workers(const candidate& next)
 {
     service_round& round = *next.round;
-    if (!within_limit(next, 1) ||
-        static_cast<double>(round.reserved_workers + 1) >
-            options_.max_reserved_fraction *
-                static_cast<double>(round.schedulable.size()))
+    const int wanted =
+        next.spec->gang ? static_cast<int>(next.pending.size()) : 1;
+    const auto most_workers =
+        static_cast<std::size_t>(options_.max_reserved_fraction *
+                                 static_cast<double>(round.schedulable.size()));
+    if (round.reserved_workers >= most_workers || !within_limit(next, wanted))
     {
         return;
     }
     collect_lasting_usage(round);
-    worker_record* best = nullptr;
-    base::resources best_free;
+    struct option
+    {
+        worker_record* worker;
+        int places;
+    };
+    std::vector<option> options;
+    int all_places = 0;
     for (worker_record* worker : next.eligible)
     {
-        if (worker->reserved_for != nullptr ||
-            place_held_for_others(*worker, next).room != base::resources() ||
-            !has_room_soon(*worker, next))
+        const int places = places_soon(*worker, next, wanted);
+        all_places += places;
+        if (places > 0 && worker->reserved_for == nullptr &&
+            place_held_for_others(*worker, next).room == base::resources())
         {
-            continue;
-        }
-        const base::resources free = worker->listing.capacity - worker->used;
-        if (best == nullptr || free.accelerators > best_free.accelerators ||
-            (free.accelerators == best_free.accelerators &&
-             free.cpu_milli > best_free.cpu_milli))
-        {
-            best = worker;
-            best_free = free;
+            options.push_back({worker, places});
         }
     }
-    if (best != nullptr)
+    if (all_places < wanted)
     {
+        return;
+    }
+    std::stable_sort(options.begin(), options.end(),
+                     [](const option& a, const option& b)
+                     {
+                         const auto used_up = [](const option& o)
+                         {
+                             const base::resources free =
+                                 o.worker->listing.capacity - o.worker->used;
+                             return std::make_tuple(-free.accelerators,
+                                                    -free.cpu_milli);
+                         };
+                         return used_up(a) < used_up(b);
+                     });
+    int covered = 0;
+    for (const option& best : options)
+    {
+        if (covered >= wanted || round.reserved_workers >= most_workers)
+        {
+            return;
+        }
+        covered += best.places;
         ++round.reserved_workers;
-        best->reserved_for = next.record;
+        best.worker->reserved_for = next.record;
     }
 }
 
--- a/src/fleet/fleet_preempt.cpp
+++ b/src/fleet/fleet_preempt.cpp
@@ -5,8 +5,12 @@
 // that save checkpoints are stopped: the platform takes a checkpoint at each
 // stop, so they lose next to nothing. Runs without checkpoints, gang members
 // and standing tasks are not preempted.
+//
+// Load it answers beside that: gangs that cannot be placed, or not as a whole,
+// wait beside other work, which must not wait with them.
 
 #include "candidate.hpp"
+#include "count_fitting.hpp"
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
@@ -67,7 +71,8 @@
 // Preempts runs for a step that can still be on time, and reserves for it what
 // they free on workers and of the limit of its team. Without the reservation,
 // less urgent tasks would start as soon as a part of it is free, and be stopped
-// again.
+// again. Nothing is reserved or stopped for tasks that could not start with it:
+// those without a place, and a gang of which one task has none.
 void fleet::make_room(candidate& next, base::time_point now)
 {
     if (next.rank != next.queue->priority || next.spec->uses_leftover)
@@ -75,25 +80,57 @@
         return;
     }
     collect_victims(*next.round, now);
-    const limit_plan plan = plan_limit(next, now);
+    const int pending = static_cast<int>(next.pending.size());
+    limit_plan limit = plan_limit(next, pending, now);
     // So that tickets are requested for it: without them it has no eligible
     // workers.
-    next.limit_attainable = plan.tasks > 0;
-    int placed = 0;
-    while (placed < plan.tasks && make_room_for_one(next))
+    next.limit_attainable = limit.tasks > 0;
+    if (next.spec->gang && !may_make_room(next, pending))
+    {
+        return;
+    }
+    room_plan room;
+    while (room.tasks < limit.tasks && plan_place(next, room))
     {
-        ++placed;
+        ++room.tasks;
     }
-    // A gang needs all of its tasks, so the limit is not freed for a part.
-    if (placed > 0 && (!next.spec->gang || placed == plan.tasks))
+    if (room.tasks == 0 || (next.spec->gang && room.tasks < pending))
     {
-        claim_limit(next, plan);
+        drop_places(next);
+        return;
+    }
+    if (room.tasks < limit.tasks)
+    {
+        limit = plan_limit(next, room.tasks, now);
     }
+    preempt(next, room);
+    claim_limit(next, limit);
+}
+
+// Whether all tasks of a gang may have room if every run that can be preempted
+// is: a quick check, since planning the places of a large gang is costly.
+bool fleet::may_make_room(const candidate& next, int tasks) const
+{
+    const int limit = next.spec->max_per_worker;
+    int places = 0;
+    for (const worker_record* worker : next.eligible)
+    {
+        if (places >= tasks)
+        {
+            break;
+        }
+        const base::resources free =
+            worker->listing.capacity - worker->used + worker->stopping_room -
+            worker->reserved_room + worker->victim_room;
+        places += count_fitting(free, next.spec->need,
+                                limit > 0 ? std::min(limit, tasks) : tasks);
+    }
+    return places >= tasks;
 }
 
 // Reserves room for one task on the worker where the fewest runs have to be
-// preempted for it. Returns false if there is none.
-bool fleet::make_room_for_one(candidate& next)
+// preempted for it, and adds those to the plan. Returns false if there is none.
+bool fleet::plan_place(candidate& next, room_plan& plan)
 {
     struct option
     {
@@ -113,6 +150,11 @@
         base::resources free = worker->listing.capacity - worker->used +
                                worker->stopping_room - worker->reserved_room -
                                place_held_for_others(*worker, next).room;
+        const auto freed = plan.freed.find(worker->number);
+        if (freed != plan.freed.end())
+        {
+            free += freed->second;
+        }
         if (!need.fits_in(worker->listing.capacity) ||
             !need.fits_in(free + worker->victim_room) ||
             !below_limit_per_worker(*worker, next, reserved_tasks(*worker)) ||
@@ -130,7 +172,8 @@
             {
                 break;
             }
-            if (may_be_preempted_for(run->second, next))
+            if (may_be_preempted_for(run->second, next) &&
+                plan.chosen.count(&run->second) == 0)
             {
                 free += run->second.room;
                 ++tried.stopped;
@@ -151,30 +194,52 @@
     place.room += need;
     ++place.tasks;
     for (const auto victim : best.victims)
+    {
+        plan.stops.emplace_back(best.worker, victim);
+        plan.chosen.insert(&victim->second);
+        plan.freed[best.worker->number] += victim->second.room;
+    }
+    return true;
+}
+
+// Gives up the room that a step has reserved on workers.
+void fleet::drop_places(candidate& next)
+{
+    for (const auto& [number, place] : next.reserved)
+    {
+        workers_by_number_[static_cast<std::size_t>(number)]->reserved_room -=
+            place.room;
+    }
+    next.reserved.clear();
+}
+
+void fleet::preempt(const candidate& next, const room_plan& plan)
+{
+    for (const auto& [worker, victim] : plan.stops)
     {
         const jobs::task_key& key = victim->first;
         active_run& run = victim->second;
-        request_stop(*best.worker, run);
+        request_stop(*worker, run);
         base::log(base::log_level::info, log_part,
                   "Run preempted. job={} occurrence={} step={} task={} run={} "
                   "worker={} "
                   "percent={} for={}",
                   key.step.job.text(), key.step.occurrence, key.step.step,
-                  key.index, run.run, best.worker->listing.worker.text(),
+                  key.index, run.run, worker->listing.worker.text(),
                   run.percent, next.key.job.text());
     }
-    return true;
 }
 
-// Determines how many tasks of a step the limit of its team allows if less
-// urgent runs of the team are preempted, and which runs those are. A gang is
-// allowed as a whole or not at all.
-fleet::limit_plan fleet::plan_limit(const candidate& next, base::time_point now)
+// Determines how many of `tasks` tasks of a step the limit of its team allows
+// if less urgent runs of the team are preempted, and which runs those are. A
+// gang is allowed as a whole or not at all.
+fleet::limit_plan fleet::plan_limit(const candidate& next, int tasks,
+                                    base::time_point now)
 {
     const base::team_id& id = next.job->submission.team;
     const team_policy* team = catalogue_->team(id);
     limit_plan plan;
-    plan.tasks = static_cast<int>(next.pending.size());
+    plan.tasks = tasks;
     if (team == nullptr)
     {
         return plan;
--- a/src/fleet/fleet_start.cpp
+++ b/src/fleet/fleet_start.cpp
@@ -3,10 +3,11 @@
 // Steps are served in the order of operator< of candidate. Each is placed by
 // best fit, that is, on the workers with the least capacity left over, so that
 // whole workers stay free for large tasks and gangs. A step without room
-// reserves one worker against the steps behind it, so that a stream of small
-// tasks does not starve it.
+// reserves a worker, or a gang several, against the steps behind it, so that a
+// stream of small tasks does not starve it.
 
 #include "candidate.hpp"
+#include "count_fitting.hpp"
 #include "placement_cost.hpp"
 
 #include <coltsfootrack/base/log.hpp>
@@ -47,7 +48,7 @@
         if (next.considered)
         {
             make_room(next, now);
-            reserve_worker(next);
+            reserve_workers(next);
         }
     }
     move_departing(waiting, now);
@@ -104,6 +105,29 @@
     return next.pending.empty();
 }
 
+// At least as many as the tasks of a step that have room on these workers, up
+// to `most`.
+int fleet::count_places(const candidate& next,
+                        const std::vector<worker_record*>& workers,
+                        int most) const
+{
+    const int limit = next.spec->max_per_worker;
+    int places = 0;
+    for (const worker_record* worker : workers)
+    {
+        if (places >= most)
+        {
+            break;
+        }
+        places += has_room(*worker, next)
+                      ? count_fitting(worker->listing.capacity - worker->used,
+                                      next.spec->need,
+                                      limit > 0 ? std::min(limit, most) : most)
+                      : 0;
+    }
+    return std::min(places, most);
+}
+
 bool fleet::start_gang(candidate& next, base::time_point now,
                        std::vector<order>& orders)
 {
@@ -124,6 +148,12 @@
                              : worker->listing.labels.back());
         }
     }
+    // Placing a task looks at every worker, which is costly for a large gang
+    // that waits for long.
+    if (count_places(next, open, count) < count)
+    {
+        return false;
+    }
     // Places the gang on the workers of one rack, or of all racks if the name
     // is empty.
     const auto place = [&](const std::string& rack)
--- a/src/fleet/fleet_tickets.cpp
+++ b/src/fleet/fleet_tickets.cpp
@@ -8,6 +8,7 @@
 // workers known to be eligible.
 
 #include "candidate.hpp"
+#include "count_fitting.hpp"
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/fleet/fleet.hpp>
@@ -22,19 +23,6 @@
 // Added to the expected latency of a request to give its timeout.
 constexpr std::chrono::milliseconds answer_timeout_margin{1500};
 
-// How many tasks of size `need` fit into `room`, at most `most`.
-int count_fitting(const base::resources& room, const base::resources& need,
-                  int most)
-{
-    int count = 0;
-    for (base::resources taken = need; count < most && taken.fits_in(room);
-         taken += need)
-    {
-        ++count;
-    }
-    return count;
-}
-
 } // namespace
 
 void fleet::on_tickets(const jobs::step_key& key,
