Remember the cancellation of a job that is not stored yet

Cause: the cancellation of an id without a job was answered and left nothing, and a job is inserted on condition only that its own row is absent. The same happens with a submission in a daemon's queue, at a peer, or in a call that the store carries out late.

Change: such a cancellation is stored before it is answered, with the caller's right: its team, or the open queue that it called. A submission with the same right is inserted on condition that this row is absent, else refused with 409: it never runs, also if the store carries the insert out late. The leader reads the rows too, after a takeover as well, and cancels a job that was stored between the daemon's read and its write, if the right covers it. Another team's cancellation keeps nothing from being accepted. End: the leader removes a row 150 s after it learnt of it.

A transaction takes as many writes as fit into the 100 entries of the platform, since an insert now takes three.

--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/base/clock.hpp>
 #include <coltsfootrack/cell/catalogue_catch_up.hpp>
 #include <coltsfootrack/cell/cell_options.hpp>
+#include <coltsfootrack/cell/early_cancel_limit.hpp>
 #include <coltsfootrack/cell/first_nonce.hpp>
 #include <coltsfootrack/cell/leader_election.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
@@ -82,14 +83,18 @@
     // stopped.
     bool ready() const;
 
-    // Stores a job. Returns OK also if the id exists already. After
-    // store_unavailable or overloaded this call will never make the job run;
-    // after outcome_unknown it may.
+    // Stores a job of a caller with this right. Returns OK also if the id
+    // exists already, and cancelled if a caller with the same right has
+    // cancelled the id first. After cancelled, store_unavailable or overloaded
+    // this call will never make the job run; after outcome_unknown it may.
     void submit(const base::job_id& id, const jobs::job_submission& job,
-                status_callback done);
+                const cancel_right& right, status_callback done);
 
-    // Stores a cancellation. Returns not_found if there is no such job.
-    void cancel(const base::job_id& id, status_callback done);
+    // Stores a cancellation by a caller with this right. Returns not_found if
+    // there is no such job; one that is stored later is then cancelled at once.
+    // Returns overloaded if too many unknown jobs were cancelled.
+    void cancel(const base::job_id& id, const cancel_right& right,
+                status_callback done);
 
     // The state of a job; not_found if there is none, store_unavailable if
     // neither the leader nor the store can be asked.
@@ -192,16 +197,29 @@
         const fleet::ticket_order& order,
         std::function<void(std::optional<std::vector<fleet::ticket_grant>>)>
             done);
-    void store_job(const base::job_id& id, const std::string& row, bool relayed,
+    void store_job(const base::job_id& id, const std::string& row,
+                   const cancel_right& right, bool relayed,
                    status_callback done);
-    void store_cancel(const base::job_id& id, bool relayed,
+    // A cancellation of a caller, as it is being stored.
+    struct pending_cancel
+    {
+        base::job_id id;
+        cancel_right right;
+        // It came from a peer.
+        bool relayed = false;
+        base::time_point sent;
+        status_callback done;
+    };
+
+    void store_cancel(pending_cancel cancel);
+    void write_cancel(const pending_cancel& cancel);
+    void write_early_cancel(const pending_cancel& cancel);
+    void end_cancel_write(const pending_cancel& cancel, write_status status,
+                          const absl::Status& stored_result);
+    void relay_unsent(const wire::relay_request& request, bool relayed,
                       status_callback done);
-    void write_cancel(const base::job_id& id, bool relayed,
-                      base::time_point sent, status_callback done);
-    void relay_unsent(const base::job_id& id, const std::string& row,
-                      bool relayed, status_callback done);
-    void relay_or_fail(const base::job_id& id, const std::string& row,
-                       bool uncertain, status_callback done);
+    void relay_or_fail(wire::relay_request request, bool uncertain,
+                       status_callback done);
     void end_relay(std::uint64_t nonce, const std::string& error);
     void state_from_store(const base::job_id& id, state_callback done);
     void record_store_result(bool answered, std::chrono::milliseconds delay);
@@ -225,6 +243,7 @@
     leader_election election_;
     ticket_dispatcher dispatcher_;
     std::vector<row_committer> committers_;
+    early_cancel_limit early_cancels_;
     std::unique_ptr<table_follower> cell_follower_;
     std::unique_ptr<table_follower> catalogue_follower_;
     std::unique_ptr<leadership> leadership_;
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -4,6 +4,7 @@
 #include <coltsfootrack/base/id.hpp>
 #include <coltsfootrack/cell/catalogue_catch_up.hpp>
 #include <coltsfootrack/cell/catalogue_duty.hpp>
+#include <coltsfootrack/cell/early_cancel_limit.hpp>
 #include <coltsfootrack/fleet/fleet_options.hpp>
 
 #include <chrono>
@@ -140,6 +141,11 @@
     // Final jobs and their rows are removed after this time; the platform
     // requires 120 s.
     milliseconds final_job_retention{150000};
+    // The cancellations of unknown jobs that a daemon stores. The leader
+    // removes them once it has known them for this time: as long as the row of
+    // a final job keeps its submission from being accepted again.
+    early_cancel_limit::limits early_cancels;
+    milliseconds early_cancel_retention{150000};
     // How often final jobs are removed, and how many at most each time, so that
     // the removal does not delay other work.
     milliseconds removal_period{1000};
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -130,6 +130,14 @@
         bool probing = false;
     };
 
+    // A cancellation that was stored when its job was not.
+    struct early_cancel
+    {
+        cancel_right right;
+        // When this leader learnt of it.
+        base::time_point seen_at;
+    };
+
     // A start to be logged. The outcome matters only if it was not confirmed.
     struct ordered_start
     {
@@ -166,6 +174,10 @@
     void carry_out(const fleet::pace_order& order);
     void carry_out(const fleet::ticket_order& order);
     void carry_out(const fleet::save_order& order);
+    void note_early_cancel(const base::job_id& id, const stored_row& row);
+    void apply_early_cancels(const base::job_id& id);
+    void remove_early_cancels();
+    void remove_early_cancels(std::size_t part, std::vector<row_id> rows);
     void empty_final_job(const base::job_id& id);
     void remove_final_jobs();
     void remove_rows(std::size_t part, std::vector<base::job_id> ids);
@@ -228,6 +240,8 @@
     std::unique_ptr<table_follower> worker_follower_;
     // The versions of the rows of jobs that are not final.
     std::map<base::job_id, std::uint64_t> job_versions_;
+    // By job and row. Daemons limit how many they store.
+    std::map<base::job_id, std::map<row_id, early_cancel>> early_cancel_rows_;
     worker_roster roster_;
     std::shared_ptr<const fleet::catalogue> catalogue_;
     // Listed workers that no stored row names yet, or whose service no
--- a/include/coltsfootrack/cell/row_committer.hpp
+++ b/include/coltsfootrack/cell/row_committer.hpp
@@ -24,6 +24,8 @@
     stored,
     // An insert found the row with another value.
     exists,
+    // An insert found the row that must not be there.
+    blocked,
     // Not written, and never will be.
     refused,
     // The same; the store will not take this value later either.
@@ -64,8 +66,10 @@
 public:
     using callback = std::function<void(write_status)>;
 
-    // The platform allows 100 entries in a transaction; a write takes two.
+    // The platform allows 100 entries in a transaction. A write takes two, an
+    // insert with a blocking row three, and the fence one.
     static constexpr std::size_t max_batch = 45;
+    static constexpr std::size_t max_entries = 100;
     static constexpr std::size_t max_waiting = 2000;
 
     // The values of a transaction together: 1 MB as the platform counts them,
@@ -95,9 +99,10 @@
     void set_fence(std::optional<row_condition> fence);
 
     // Writes a row that must not exist yet, in a single attempt. Refused if not
-    // sent by the deadline.
+    // sent by the deadline, and blocked if the row `blocked_by` exists.
     void insert(const row_id& row, std::string value, base::time_point now,
-                base::time_point deadline, callback done);
+                base::time_point deadline, callback done,
+                std::optional<row_id> blocked_by = std::nullopt);
 
     // Writes a row that only the holder of the fence writes, whatever its value
     // was. The value replaces a queued one of the same row, whose callback is
@@ -153,6 +158,7 @@
         row_id row;
         std::string value;
         bool is_insert = false;
+        std::optional<row_id> blocked_by;
         // An update that was dropped while in flight. A retry could overwrite
         // the progress of a later leader.
         bool dropped = false;
@@ -171,7 +177,8 @@
                         bool uncertain);
     void handle_rejection(std::vector<pending_write>& batch,
                           base::time_point now);
-    bool resolve_conflict(pending_write& write, const stored_row* current);
+    bool resolve_conflict(pending_write& write, const stored_row* current,
+                          const stored_row* blocking);
 
     std::optional<row_condition> fence_;
     std::map<row_id, std::uint64_t> versions_;
--- a/include/coltsfootrack/cell/row_layout.hpp
+++ b/include/coltsfootrack/cell/row_layout.hpp
@@ -2,6 +2,7 @@
 #define COLTSFOOTRACK_CELL_ROW_LAYOUT_HPP_INCLUDED
 
 #include <coltsfootrack/base/id.hpp>
+#include <coltsfootrack/cell/cancel_right.hpp>
 #include <coltsfootrack/cell/row_id.hpp>
 
 #include <cstddef>
@@ -22,6 +23,8 @@
 // | jobs     | job part   | ID          | the daemon that accepted the job;   |
 // |          |            |             | emptied by the leader once final    |
 // | jobs     | job part   | ID!         | the daemon that accepted the cancel |
+// | jobs     | job part   | ID~HASH     | the same, if there was no such job; |
+// |          |            |             | HASH is that of a cancel_right      |
 // | progress | job part   | ID          | the leader, if the fence is its own |
 // | progress | job part   | !workers    | the same; see worker_roster         |
 class row_layout
@@ -54,12 +57,19 @@
     row_id fence(std::size_t part) const;
     row_id job(const base::job_id& id) const;
     row_id cancel(const base::job_id& id) const;
+    row_id early_cancel(const base::job_id& id,
+                        const cancel_right& right) const;
     row_id progress(const base::job_id& id) const;
     row_id roster(std::size_t part) const;
 
     // The job that a key of the jobs table cancels; nullopt for other keys.
     static std::optional<base::job_id> cancelled_job(const std::string& key);
 
+    // The job that a key of the jobs table cancels before it is stored; nullopt
+    // for other keys.
+    static std::optional<base::job_id>
+    early_cancelled_job(const std::string& key);
+
 private:
     std::vector<std::string> part_names_;
 };
--- a/include/coltsfootrack/wire/peer_generated.hpp
+++ b/include/coltsfootrack/wire/peer_generated.hpp
@@ -1927,7 +1927,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NONCE = 4,
     VT_JOB = 6,
-    VT_ROW = 8
+    VT_ROW = 8,
+    VT_CANCEL_RIGHT = 10
   };
   uint64_t nonce() const {
     return GetField<uint64_t>(VT_NONCE, 0);
@@ -1938,6 +1939,9 @@
   const flatbuffers::String *row() const {
     return GetPointer<const flatbuffers::String *>(VT_ROW);
   }
+  const flatbuffers::String *cancel_right() const {
+    return GetPointer<const flatbuffers::String *>(VT_CANCEL_RIGHT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NONCE, 8) &&
@@ -1945,6 +1949,8 @@
            verifier.VerifyString(job()) &&
            VerifyOffsetRequired(verifier, VT_ROW) &&
            verifier.VerifyString(row()) &&
+           VerifyOffset(verifier, VT_CANCEL_RIGHT) &&
+           verifier.VerifyString(cancel_right()) &&
            verifier.EndTable();
   }
 };
@@ -1962,6 +1968,9 @@
   void add_row(flatbuffers::Offset<flatbuffers::String> row) {
     fbb_.AddOffset(RelayRequest::VT_ROW, row);
   }
+  void add_cancel_right(flatbuffers::Offset<flatbuffers::String> cancel_right) {
+    fbb_.AddOffset(RelayRequest::VT_CANCEL_RIGHT, cancel_right);
+  }
   explicit RelayRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1979,9 +1988,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     flatbuffers::Offset<flatbuffers::String> job = 0,
-    flatbuffers::Offset<flatbuffers::String> row = 0) {
+    flatbuffers::Offset<flatbuffers::String> row = 0,
+    flatbuffers::Offset<flatbuffers::String> cancel_right = 0) {
   RelayRequestBuilder builder_(_fbb);
   builder_.add_nonce(nonce);
+  builder_.add_cancel_right(cancel_right);
   builder_.add_row(row);
   builder_.add_job(job);
   return builder_.Finish();
@@ -1991,14 +2002,17 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t nonce = 0,
     const char *job = nullptr,
-    const char *row = nullptr) {
+    const char *row = nullptr,
+    const char *cancel_right = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto row__ = row ? _fbb.CreateString(row) : 0;
+  auto cancel_right__ = cancel_right ? _fbb.CreateString(cancel_right) : 0;
   return coltsfootrack::wire::fb::CreateRelayRequest(
       _fbb,
       nonce,
       job__,
-      row__);
+      row__,
+      cancel_right__);
 }
 
 struct RelayAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/include/coltsfootrack/wire/relay_request.hpp
+++ b/include/coltsfootrack/wire/relay_request.hpp
@@ -17,10 +17,14 @@
     base::job_id job;
     // The encoded row; empty for the cancellation of the job.
     std::string row;
+    // What the caller may cancel, encoded; empty from daemons of former
+    // versions.
+    std::string cancel_right;
 
     friend bool operator==(const relay_request& a, const relay_request& b)
     {
-        return a.nonce == b.nonce && a.job == b.job && a.row == b.row;
+        return a.nonce == b.nonce && a.job == b.job && a.row == b.row &&
+               a.cancel_right == b.cancel_right;
     }
 
     friend bool operator!=(const relay_request& a, const relay_request& b)
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -51,6 +51,7 @@
                   row_committer(options.has_thin_link()
                                     ? options.thin_link_group_delay
                                     : options.group_delay))
+    , early_cancels_(options.early_cancels)
     , catalogue_catch_up_(options.catalogue_requests)
     , catalogue_duty_(options.daemon, options.processor_milli,
                       options.catalogue_followers)
@@ -217,9 +218,10 @@
 }
 
 void cell_daemon::submit(const base::job_id& id,
-                         const jobs::job_submission& job, status_callback done)
+                         const jobs::job_submission& job,
+                         const cancel_right& right, status_callback done)
 {
-    auto event = [this, id, job, done]
+    auto event = [this, id, job, right, done]
     {
         jobs::job_submission stored = job;
         const auto& leader = election_.row();
@@ -234,7 +236,7 @@
                                       std::to_string(options_.max_row_bytes)));
             return;
         }
-        store_job(id, row, false, done);
+        store_job(id, row, right, false, done);
     };
     if (!loop_.try_post(std::move(event)))
     {
@@ -243,9 +245,13 @@
     }
 }
 
-void cell_daemon::cancel(const base::job_id& id, status_callback done)
+void cell_daemon::cancel(const base::job_id& id, const cancel_right& right,
+                         status_callback done)
 {
-    if (!loop_.try_post([this, id, done] { store_cancel(id, false, done); }))
+    if (!loop_.try_post(
+            [this, id, right, done] {
+                store_cancel({id, right, false, {}, done});
+            }))
     {
         done(base::make_error(base::error_kind::overloaded,
                               "the event queue of this daemon is full"));
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -131,6 +131,7 @@
                    stored == loaded_progress_.end() ? jobs::job_progress()
                                                     : stored->second,
                    job->leader_epoch != epoch(), clock_.now(), clock_.wall());
+    apply_early_cancels(id);
 }
 
 void leadership::on_cancel(const base::job_id& id)
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -247,8 +247,12 @@
         follow_workers();
         loop_.every(options_.round_period,
                     guarded([this] { request_round(); }));
-        loop_.every(options_.removal_period,
-                    guarded([this] { remove_final_jobs(); }));
+        loop_.every(options_.removal_period, guarded(
+                                                 [this]
+                                                 {
+                                                     remove_final_jobs();
+                                                     remove_early_cancels();
+                                                 }));
     };
     job_follower_ = std::make_unique<table_follower>(
         loop_, ports_.store, row_layout::jobs_table, layout_.part_names(),
@@ -273,6 +277,11 @@
     std::vector<base::job_id> cancelled;
     for (const stored_row& row : rows)
     {
+        if (const auto id = row_layout::early_cancelled_job(row.id.key))
+        {
+            note_early_cancel(*id, row);
+            continue;
+        }
         if (!row.exists())
         {
             continue;
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -20,7 +20,7 @@
 
 void row_committer::insert(const row_id& row, std::string value,
                            base::time_point now, base::time_point deadline,
-                           callback done)
+                           callback done, std::optional<row_id> blocked_by)
 {
     if (queue_.size() >= max_waiting || batch_overdue(now) ||
         (last_attempt_failed_ && (!idle() || now < retry_at_)))
@@ -32,6 +32,7 @@
     added.row = row;
     added.value = std::move(value);
     added.is_insert = true;
+    added.blocked_by = std::move(blocked_by);
     added.deadline = deadline;
     added.done.push_back(std::move(done));
     queue_.push_back(std::move(added));
@@ -115,10 +116,14 @@
     const std::size_t most = single_writes_ > 0 ? 1 : max_batch;
     single_writes_ -= single_writes_ > 0 ? 1 : 0;
     std::size_t bytes = 0;
+    // The fence takes one.
+    std::size_t entries = 1;
     while (!queue_.empty() && batch_.size() < most)
     {
         bytes += queue_.front().value.size();
-        if (!batch_.empty() && bytes > max_batch_bytes)
+        entries += queue_.front().blocked_by ? 3 : 2;
+        if (!batch_.empty() &&
+            (bytes > max_batch_bytes || entries > max_entries))
         {
             break;
         }
@@ -129,6 +134,10 @@
             first.is_insert || known == versions_.end() ? 0 : known->second;
         group.conditions.push_back({first.row, version});
         group.writes.push_back({first.row, first.value});
+        if (first.blocked_by)
+        {
+            group.conditions.push_back({*first.blocked_by, 0});
+        }
         fenced = fenced || !first.is_insert;
         batch_.push_back(std::move(first));
     }
@@ -230,7 +239,8 @@
 // Completes the write if the current row decides its result. Returns false if
 // it has to be sent again.
 bool row_committer::resolve_conflict(pending_write& write,
-                                     const stored_row* current)
+                                     const stored_row* current,
+                                     const stored_row* blocking)
 {
     if (current == nullptr)
     {
@@ -245,7 +255,12 @@
     }
     if (!current->exists())
     {
-        return false;
+        const bool blocked = blocking != nullptr && blocking->exists();
+        if (blocked)
+        {
+            complete(write, write_status::blocked);
+        }
+        return blocked;
     }
     complete(write, current->value == write.value ? write_status::stored
                                                   : write_status::exists);
@@ -311,7 +326,10 @@
         {
             lost.push_back(std::move(write));
         }
-        else if (!resolve_conflict(write, current_row(write.row)))
+        else if (!resolve_conflict(write, current_row(write.row),
+                                   write.blocked_by
+                                       ? current_row(*write.blocked_by)
+                                       : nullptr))
         {
             again.push_back(std::move(write));
         }
--- a/src/cell/row_layout.cpp
+++ b/src/cell/row_layout.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr char cancel_suffix = '!';
+// Between the job and the hash of the right to cancel it.
+constexpr char early_cancel_mark = '~';
 
 } // namespace
 
@@ -51,6 +53,14 @@
     return {jobs_table, part_names_[part_of(id)], id.text() + cancel_suffix};
 }
 
+row_id row_layout::early_cancel(const base::job_id& id,
+                                const cancel_right& right) const
+{
+    return {jobs_table, part_names_[part_of(id)],
+            id.text() + early_cancel_mark +
+                std::to_string(stable_hash(encode(right)))};
+}
+
 row_id row_layout::progress(const base::job_id& id) const
 {
     return {progress_table, part_names_[part_of(id)], id.text()};
@@ -70,4 +80,15 @@
     return base::job_id(key.substr(0, key.size() - 1));
 }
 
+std::optional<base::job_id>
+row_layout::early_cancelled_job(const std::string& key)
+{
+    const std::size_t mark = key.rfind(early_cancel_mark);
+    if (mark == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    return base::job_id(key.substr(0, mark));
+}
+
 } // namespace coltsfootrack::cell
--- a/src/wire/decode.cpp
+++ b/src/wire/decode.cpp
@@ -333,6 +333,7 @@
     value.nonce = m.nonce();
     value.job = fields.id<base::job_id>(m.job(), "job");
     value.row = m.row()->str();
+    value.cancel_right = text_of(m.cancel_right());
     return fields.result(std::move(value));
 }
 
--- a/src/wire/encode.cpp
+++ b/src/wire/encode.cpp
@@ -226,8 +226,10 @@
     {
         const auto job = text(builder, m.job);
         const auto row = builder.CreateString(m.row);
-        return {fb::Body::RelayRequest,
-                fb::CreateRelayRequest(builder, m.nonce, job, row).Union()};
+        const auto right = builder.CreateString(m.cancel_right);
+        return {
+            fb::Body::RelayRequest,
+            fb::CreateRelayRequest(builder, m.nonce, job, row, right).Union()};
     }
 
     encoded_body operator()(const relay_answer& m) const
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -394,6 +394,20 @@
     store_.put(layout_.job(base::job_id(id)), job_row(leader_epoch));
 }
 
+void leadership_harness::put_early_cancel(const std::string& id,
+                                          const cancel_right& right)
+{
+    store_.put(layout_.early_cancel(base::job_id(id), right), encode(right));
+}
+
+bool leadership_harness::wait_no_early_cancel(const std::string& id,
+                                              const cancel_right& right,
+                                              milliseconds limit)
+{
+    const row_id row = layout_.early_cancel(base::job_id(id), right);
+    return wait_for([&] { return !store_.read(row).exists(); }, limit);
+}
+
 void leadership_harness::put_completed(const std::string& id)
 {
     jobs::job_progress progress;
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -94,6 +94,22 @@
         return unstored_worker_used_;
     }
 
+    // Stores that a caller who may cancel the jobs of a team, or those of an
+    // open queue, has cancelled a job that was not stored. Call before begin()
+    // or inside run().
+    void put_early_cancel(const std::string& id, const cancel_right& right);
+
+    // Waits until no cancellation of an unknown job is stored; false if the
+    // limit passes.
+    bool wait_no_early_cancel(const std::string& id, const cancel_right& right,
+                              std::chrono::milliseconds limit);
+
+    // The team that submits the jobs. Call before begin().
+    void set_team(const std::string& team)
+    {
+        team_.team = base::team_id(team);
+    }
+
     // Stores the progress of a completed job.
     void put_completed(const std::string& id);
 
--- a/test/cell/row_committer_test.cpp
+++ b/test/cell/row_committer_test.cpp
@@ -47,6 +47,9 @@
     CPPUNIT_TEST_SUITE(row_committer_test);
     CPPUNIT_TEST(insert_of_new_row_is_stored);
     CPPUNIT_TEST(insert_of_known_row_reports_exists);
+    CPPUNIT_TEST(insert_behind_blocking_row_is_blocked);
+    CPPUNIT_TEST(insert_carried_out_late_behind_blocking_row_writes_nothing);
+    CPPUNIT_TEST(transaction_stays_within_entries_of_store);
     CPPUNIT_TEST(insert_lost_answer_is_unknown_and_found_on_retry);
     CPPUNIT_TEST(insert_refused_by_store_is_refused_at_once);
     CPPUNIT_TEST(insert_store_unresponsive_is_refused_at_once);
@@ -136,6 +139,85 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(40), written);
     }
 
+    // Guards against jobs that are stored though they were cancelled first
+    // (review/8), and against others of the same transaction that are refused
+    // with them.
+    void insert_behind_blocking_row_is_blocked()
+    {
+        const row_id blocking{"jobs", "p0", "a~1"};
+        const row_id other_blocking{"jobs", "p0", "b~1"};
+        row_committer committer;
+        fake_store store;
+        store.put(blocking, "x");
+        std::vector<write_status> blocked;
+        std::vector<write_status> stored;
+        committer.insert({"jobs", "p0", "a"}, "1", start,
+                         start + milliseconds(1000), record(blocked), blocking);
+        committer.insert({"jobs", "p0", "b"}, "1", start,
+                         start + milliseconds(1000), record(stored),
+                         other_blocking);
+        while (const auto group = committer.next(start))
+        {
+            committer.on_result(store.apply(*group), start);
+        }
+        CPPUNIT_ASSERT(blocked == std::vector{write_status::blocked});
+        CPPUNIT_ASSERT(stored == std::vector{write_status::stored});
+        CPPUNIT_ASSERT(!store.read({"jobs", "p0", "a"}).exists());
+        // A row that was stored before the blocking one stays what it is.
+        store.put(other_blocking, "x");
+        committer.insert({"jobs", "p0", "b"}, "1", start,
+                         start + milliseconds(1000), record(stored),
+                         other_blocking);
+        committer.on_result(store.apply(*committer.next(start)), start);
+        CPPUNIT_ASSERT(stored.back() == write_status::stored);
+    }
+
+    // The same for a call that the store carries out seconds later.
+    void insert_carried_out_late_behind_blocking_row_writes_nothing()
+    {
+        const row_id blocking{"jobs", "p0", "a~1"};
+        row_committer committer;
+        fake_store store;
+        std::vector<write_status> seen;
+        committer.insert({"jobs", "p0", "a"}, "1", start,
+                         start + milliseconds(1000), record(seen), blocking);
+        const auto group = committer.next(start);
+        committer.on_result(answer(transaction_status::unknown), start);
+        CPPUNIT_ASSERT(seen == std::vector{write_status::unknown});
+        store.put(blocking, "x");
+        CPPUNIT_ASSERT(store.apply(*group).status ==
+                       transaction_status::conflict);
+    }
+
+    // Guards against transactions that the store rejects whole.
+    void transaction_stays_within_entries_of_store()
+    {
+        row_committer committer;
+        committer.set_fence(row_condition{fence_row, 1});
+        constexpr std::size_t platform_limit = 100;
+        std::vector<write_status> seen;
+        for (int i = 0; i < 120; ++i)
+        {
+            const std::string key = std::to_string(i);
+            if (i % 3 == 0)
+            {
+                committer.update({"progress", "p0", key}, "1", true, start,
+                                 record(seen));
+                continue;
+            }
+            committer.insert({"jobs", "p0", key}, "1", start,
+                             start + milliseconds(1000), record(seen),
+                             row_id{"jobs", "p0", key + "~1"});
+        }
+        while (const auto group = committer.next(start))
+        {
+            CPPUNIT_ASSERT(group->conditions.size() + group->writes.size() <=
+                           platform_limit);
+            committer.on_result(answer(transaction_status::committed), start);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(120), seen.size());
+    }
+
     void insert_of_new_row_is_stored()
     {
         row_committer committer;
--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -21,6 +21,8 @@
 // Ends the row of a worker that has announced its departure.
 constexpr const char* leaving_mark = " leaving";
 const base::service_id service("s");
+// All jobs are on one queue, which is open.
+const cell::cancel_right callers_right{base::team_id(), "q"};
 const std::vector<std::string> zones = {"a", "b", "c"};
 
 // As in the adapter of the platform.
@@ -762,7 +764,7 @@
     ++job.uncertain;
     checker_.job(id).all_refused = false;
     nodes_[to].daemon->submit(
-        base::job_id(id), job.submission,
+        base::job_id(id), job.submission, callers_right,
         [this, id, retry](const absl::Status& status)
         {
             caller_job& answered = jobs_.at(id);
@@ -789,7 +791,7 @@
         return;
     }
     checker_.job(id).cancelled = true;
-    nodes_[to].daemon->cancel(base::job_id(id),
+    nodes_[to].daemon->cancel(base::job_id(id), callers_right,
                               [](const absl::Status& /*status*/) {});
 }
 
--- a/test/system/cell_test.cpp
+++ b/test/system/cell_test.cpp
@@ -127,6 +127,7 @@
     CPPUNIT_TEST(cell_job_is_completed_and_shown_by_every_daemon);
     CPPUNIT_TEST(cell_job_submitted_twice_runs_once);
     CPPUNIT_TEST(cell_cancelled_job_stops);
+    CPPUNIT_TEST(cell_job_cancelled_while_its_daemon_is_frozen_never_runs);
     CPPUNIT_TEST(cell_unknown_job_is_answered_410);
     CPPUNIT_TEST(cell_leader_killed_jobs_complete);
     CPPUNIT_TEST(cell_leader_stopped_hands_over);
@@ -179,6 +180,30 @@
         cell.check();
     }
 
+    // Guards against review/8: the submission waits at a frozen daemon, and is
+    // stored after its cancellation was answered elsewhere.
+    void cell_job_cancelled_while_its_daemon_is_frozen_never_runs()
+    {
+        running_cell cell("cancelled-while-frozen");
+        const int frozen = (cell.leader() + 1) % cell.cluster.daemons();
+        const int other = (frozen + 1) % cell.cluster.daemons();
+        const std::string id = random_id(cell.random);
+        cell.checker.job(id) = short_job();
+        cell.cluster.daemon(frozen).send_signal(SIGSTOP);
+        CPPUNIT_ASSERT(!cell.cluster.submit(frozen, id, cell.checker.job(id)));
+        CPPUNIT_ASSERT_EQUAL(410, *cell.cluster.cancel(other, id));
+        cell.cluster.daemon(frozen).send_signal(SIGCONT);
+        std::this_thread::sleep_for(milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::string("410"), cell.cluster.state(other, id));
+        cell.check();
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cell.checker.starts());
+        // The same id again is refused, another one is accepted.
+        CPPUNIT_ASSERT_EQUAL(
+            409, *cell.cluster.submit(frozen, id, cell.checker.job(id)));
+        const std::string next = cell.submit(frozen, short_job());
+        CPPUNIT_ASSERT(cell.completes(other, next, milliseconds(5000)));
+    }
+
     void cell_unknown_job_is_answered_410()
     {
         running_cell cell("unknown");
--- a/test/wire/generators.hpp
+++ b/test/wire/generators.hpp
@@ -200,6 +200,7 @@
         return any_ticket_answer();
     case 16:
         return relay_request{any_number(), any_id<base::job_id>(),
+                             *rc::gen::string<std::string>(),
                              *rc::gen::string<std::string>()};
     case 19:
         return any_worker_call();
