Store only workers that have answered

Cause: the leader stored a worker as one that may hold a lease when it was listed. The next leader waits for all of those, and for all that are listed.

Change: a listed worker that is not stored is asked for an answer, without a lease, and stored and used once it has answered. So a new leader waits for stored workers only. That is safe: a lease or a start is sent only to a worker that a row names, written under the fence, and a new leader reads these rows after it has fenced all parts. One that they do not name was never used by a former leader, and no longer can be.

Tests: leader_listed_worker_that_was_never_used_is_not_waited_for fails on the code before. Three tests of a takeover asked that a silent worker is waited for with a store that says it was never used. They store it as used now, as the former leader that they are about would have, and ask for the same wait. The harness counted any renewal of a worker that is not stored as its use; it counts leases now, as its comment says, and starts as well.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -92,6 +92,9 @@
     int idle_renewals_per_second = 100;
     milliseconds min_renewal_wait{400};
     milliseconds max_renewal_wait{1000};
+    // The pause before the next renewal of a worker that refused or did not
+    // answer.
+    milliseconds renewal_retry_pause{200};
     // The pause between two renewals of a worker with ends that are not stored
     // yet.
     milliseconds renewal_pause{250};
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -130,6 +130,16 @@
         bool probing = false;
     };
 
+    // A listed worker that no stored row names yet.
+    struct unstored_worker
+    {
+        fleet::worker_listing listing;
+        // Has answered this leader.
+        bool answered = false;
+        bool probing = false;
+        base::time_point next_at;
+    };
+
     // A cancellation that was stored when its job was not.
     struct early_cancel
     {
@@ -164,6 +174,9 @@
     bool names_service(const base::service_id& service) const;
     void list_worker(const fleet::worker_listing& listing);
     void unlist_worker(const base::worker_id& id);
+    void probe_unstored_workers();
+    void on_unstored_answer(const base::worker_id& id,
+                            fleet::order_outcome outcome);
     void list_stored_workers();
     void write_roster();
     void run_round();
@@ -244,9 +257,8 @@
     std::map<base::job_id, std::map<row_id, early_cancel>> early_cancel_rows_;
     worker_roster roster_;
     std::shared_ptr<const fleet::catalogue> catalogue_;
-    // Listed workers that no stored row names yet, or whose service no
-    // catalogue has named so far; they are not used.
-    std::map<base::worker_id, fleet::worker_listing> unstored_workers_;
+    // They are not used.
+    std::map<base::worker_id, unstored_worker> unstored_workers_;
     std::map<base::worker_id, renewal_state> renewals_;
     // What daemons stored before the jobs were loaded.
     std::map<base::job_id, std::string> early_jobs_;
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -16,10 +16,6 @@
 
 constexpr std::string_view log_part = "leader";
 
-// The pause before the next renewal of a worker that refused or did not
-// answer.
-constexpr std::chrono::milliseconds renewal_retry_pause{200};
-
 // Rounds use at most 1 / round_time_divisor of the control thread's time: the
 // next starts no earlier than this many times the length of the last after it.
 constexpr int round_time_divisor = 4;
@@ -89,8 +85,7 @@
 {
     catalogue_ = value;
     fleet_.set_catalogue(std::move(value));
-    // It may name the service of a worker that was set aside.
-    list_stored_workers();
+    request_round();
 }
 
 void leadership::on_job(const base::job_id& id, const std::string& row)
@@ -202,6 +197,7 @@
     }
     log_starts(ordered_starts_, false);
     renew_all();
+    probe_unstored_workers();
     write_roster();
     hooks_.commit();
     last_round_time_ = clock_.now() - last_round_;
@@ -508,8 +504,9 @@
         fleet_.on_renewal_failed(id, result.report.sent_at,
                                  result.confirmed_unanswered);
         remove_departed(id);
-        state.next_at = now + renewal_retry_pause;
-        loop_.after(renewal_retry_pause, guarded([this] { request_round(); }));
+        state.next_at = now + options_.renewal_retry_pause;
+        loop_.after(options_.renewal_retry_pause,
+                    guarded([this] { request_round(); }));
         return;
     }
     fleet_.on_report(id, result.report, now);
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -366,7 +366,7 @@
                 gone.push_back(id);
             }
         }
-        for (const auto& [id, listing] : unstored_workers_)
+        for (const auto& [id, worker] : unstored_workers_)
         {
             if (listed.count(id) == 0)
             {
@@ -388,16 +388,18 @@
     return catalogue_ && catalogue_->services.count(service) != 0;
 }
 
-// A worker is used only once a stored row names it, and stored only once its
-// service is known. An entry of any other service may come from another writer;
-// the next leader would wait for its answer.
+// A worker is used only once a stored row names it, and stored only once it has
+// answered. The next leader waits for each stored worker, and an entry alone
+// does not show that there is one: it may come from another writer.
 void leadership::list_worker(const fleet::worker_listing& listing)
 {
-    if (!roster_.stored(listing.worker) && !names_service(listing.service))
+    if (!roster_.stored(listing.worker))
     {
-        const bool added =
-            unstored_workers_.insert_or_assign(listing.worker, listing).second;
-        if (added)
+        const auto [found, added] =
+            unstored_workers_.try_emplace(listing.worker);
+        unstored_worker& waiting = found->second;
+        waiting.listing = listing;
+        if (added && !names_service(listing.service))
         {
             metrics_.count_event("worker_service_unknown");
             base::log(base::log_level::warning, log_part,
@@ -405,14 +407,13 @@
                       "worker={} service={}",
                       listing.worker.text(), listing.service.text());
         }
+        if (waiting.answered)
+        {
+            roster_.add(listing);
+        }
         return;
     }
     roster_.add(listing);
-    if (!roster_.stored(listing.worker))
-    {
-        unstored_workers_[listing.worker] = listing;
-        return;
-    }
     unstored_workers_.erase(listing.worker);
     renewals_.try_emplace(listing.worker);
     fleet_.list_worker(listing, clock_.now());
@@ -432,13 +433,66 @@
 void leadership::list_stored_workers()
 {
     const auto waiting = unstored_workers_;
-    for (const auto& [id, listing] : waiting)
+    for (const auto& [id, worker] : waiting)
     {
-        list_worker(listing);
+        list_worker(worker.listing);
     }
     request_round();
 }
 
+// Asks each worker that is not stored for an answer, without a lease.
+void leadership::probe_unstored_workers()
+{
+    const base::time_point now = clock_.now();
+    for (auto& [id, worker] : unstored_workers_)
+    {
+        if (worker.answered || worker.probing || worker.next_at > now ||
+            !names_service(worker.listing.service))
+        {
+            continue;
+        }
+        worker.probing = true;
+        lease_renewal request;
+        request.epoch = epoch();
+        request.send_by = now + options_.send_limit;
+        ports_.workers.renew(worker.listing, request,
+                             posted<renewal_result>(
+                                 [this, id = id](const renewal_result& result)
+                                 { on_unstored_answer(id, result.outcome); }));
+    }
+}
+
+void leadership::on_unstored_answer(const base::worker_id& id,
+                                    fleet::order_outcome outcome)
+{
+    record_outcome(call_kind::probe, outcome, id);
+    const auto found = unstored_workers_.find(id);
+    if (found == unstored_workers_.end())
+    {
+        return;
+    }
+    unstored_worker& worker = found->second;
+    worker.probing = false;
+    if (outcome == fleet::order_outcome::carried_out)
+    {
+        worker.answered = true;
+        roster_.add(worker.listing);
+        request_round();
+        return;
+    }
+    if (worker.next_at == base::time_point())
+    {
+        metrics_.count_event("worker_not_found");
+        base::log(base::log_level::info, log_part,
+                  "Listed worker not used: it has not answered yet. worker={} "
+                  "address={} outcome={}",
+                  id.text(), worker.listing.address, fleet::name_of(outcome));
+    }
+    worker.next_at = clock_.now() + options_.renewal_retry_pause;
+    loop_.after(options_.renewal_retry_pause,
+                guarded([this] { request_round(); }));
+}
+
 void leadership::write_roster()
 {
     for (std::size_t part = 0; part < layout_.part_count(); ++part)
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -198,7 +198,8 @@
         }
         leases_ += renewal.lease_end ? 1 : 0;
         unstored_worker_used_ =
-            unstored_worker_used_ || !is_stored(worker.worker);
+            unstored_worker_used_ ||
+            (renewal.lease_end && !is_stored(worker.worker));
         result.outcome = unresponsive_.count(worker.worker.text()) != 0
                              ? fleet::order_outcome::unhealthy
                              : fleet::order_outcome::carried_out;
@@ -208,10 +209,12 @@
         loop_.after(milliseconds(10), [done, result] { done(result); });
     };
     made.workers.start =
-        [this](const fleet::worker_listing& /*worker*/, std::uint64_t /*epoch*/,
+        [this](const fleet::worker_listing& worker, std::uint64_t /*epoch*/,
                const fleet::start_order& order, milliseconds /*lease_end*/,
                base::time_point /*send_by*/, const auto& done)
     {
+        unstored_worker_used_ =
+            unstored_worker_used_ || !is_stored(worker.worker);
         starts_.push_back(order);
         done({start_outcome_, std::nullopt});
     };
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -48,8 +48,8 @@
     // Call before begin().
     void limit_team(std::int64_t cpu_milli);
 
-    // Stores that a former leader has used a worker, which is not listed and
-    // does not answer.
+    // Stores that a former leader has used a worker, which does not answer. It
+    // is not listed unless add_worker() was called.
     void put_used_worker(const std::string& id);
 
     // From now on the reports of a worker list the end of the first task of a
@@ -87,8 +87,8 @@
     bool wait_not_stored(const std::string& id,
                          std::chrono::milliseconds limit);
 
-    // Whether a lease was granted to a worker that no stored row named. Call
-    // inside run().
+    // Whether a lease or a start was sent to a worker that no stored row named.
+    // Call inside run().
     bool unstored_worker_used() const
     {
         return unstored_worker_used_;
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(leader_job_of_former_epoch_waits_for_unresponsive_worker);
     CPPUNIT_TEST(leader_job_found_after_fencing_waits_for_unresponsive_worker);
     CPPUNIT_TEST(leader_job_without_epoch_waits_for_unresponsive_worker);
+    CPPUNIT_TEST(leader_listed_worker_that_was_never_used_is_not_waited_for);
     CPPUNIT_TEST(leader_all_workers_answer_starts_every_job);
     CPPUNIT_TEST(leader_inherited_job_waits_for_workers_not_listed_yet);
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_is_read);
@@ -61,6 +62,7 @@
         leadership_harness harness(epoch);
         harness.add_worker("w1", true);
         harness.add_worker("w2", false);
+        harness.put_used_worker("w2");
         harness.begin();
         CPPUNIT_ASSERT(harness.wait_loaded(soon));
         harness.send_job("former", epoch - 1);
@@ -73,6 +75,7 @@
         leadership_harness harness(epoch);
         harness.add_worker("w1", true);
         harness.add_worker("w2", false);
+        harness.put_used_worker("w2");
         harness.begin();
         CPPUNIT_ASSERT(harness.wait_loaded(soon));
         harness.run([&] { harness.put_job("former", epoch - 1); });
@@ -84,12 +87,30 @@
         leadership_harness harness(epoch);
         harness.add_worker("w1", true);
         harness.add_worker("w2", false);
+        harness.put_used_worker("w2");
         harness.begin();
         CPPUNIT_ASSERT(harness.wait_loaded(soon));
         harness.run([&] { harness.put_job("no_epoch", 0); });
         CPPUNIT_ASSERT(!harness.wait_started("no_epoch", soon));
     }
 
+    // Guards against an entry for which nobody answers, as another writer may
+    // leave it (review/9): accepted jobs wait 30 s for it after each change of
+    // leaders.
+    void leader_listed_worker_that_was_never_used_is_not_waited_for()
+    {
+        leadership_harness harness(epoch);
+        harness.add_worker("w1", true);
+        harness.add_worker("odd", false);
+        harness.put_job("former", epoch - 1);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_started("former", soon));
+        CPPUNIT_ASSERT(!harness.wait_stored("odd", milliseconds(100)));
+        // It is used once it answers.
+        harness.run([&] { harness.answer_again("odd"); });
+        CPPUNIT_ASSERT(harness.wait_stored("odd", soon));
+    }
+
     void leader_all_workers_answer_starts_every_job()
     {
         leadership_harness harness(epoch);
