--- a/test/fleet/gang_room_test.cpp
+++ b/test/fleet/gang_room_test.cpp
@@ -223,7 +223,8 @@
     {
         studio_fixture f;
         f.team_.team = base::team_id("t");
-        f.team_.limit = {5 * 2000, 0, 0};
+        // For five of the six tasks.
+        f.team_.limit = {10000, 0, 0};
         f.apply();
         f.add_job("gang", {studio_fixture::gang(6, {2000, 100, 0})});
         f.run_round();
@@ -256,7 +257,8 @@
         f.add_job("later", {fleet_fixture::step(1, worker_cpu)}, false, {},
                   "elsewhere");
         f.run_round();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{workers * 4}, f.stops.size());
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(workers) * 4,
+                             f.stops.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.starts_of("later"));
     }
 };
