--- a/include/coltsfootrack/cell/early_cancel_limit.hpp
+++ b/include/coltsfootrack/cell/early_cancel_limit.hpp
@@ -25,6 +25,7 @@
         // The most in `window`, of all callers together, and with one right.
         std::size_t most = 1000;
         std::size_t most_of_right = 250;
+        // How long each of them counts: as long as the leader keeps its row.
         base::duration window = std::chrono::seconds(150);
     };
 
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -256,8 +256,10 @@
     // By job and row. Daemons limit how many they store.
     std::map<base::job_id, std::map<row_id, early_cancel>> early_cancel_rows_;
     worker_roster roster_;
+    // The catalogue in force. Workers of a service that it does not name are
+    // not asked for an answer.
     std::shared_ptr<const fleet::catalogue> catalogue_;
-    // They are not used.
+    // Not used until a stored row names them.
     std::map<base::worker_id, unstored_worker> unstored_workers_;
     std::map<base::worker_id, renewal_state> renewals_;
     // What daemons stored before the jobs were loaded.
--- a/src/cell/row_committer.cpp
+++ b/src/cell/row_committer.cpp
@@ -121,6 +121,7 @@
     while (!queue_.empty() && batch_.size() < most)
     {
         bytes += queue_.front().value.size();
+        // The condition and the new value of the row, and the blocking row.
         entries += queue_.front().blocked_by ? 3 : 2;
         if (!batch_.empty() &&
             (bytes > max_batch_bytes || entries > max_entries))
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -94,9 +94,9 @@
         CPPUNIT_ASSERT(!harness.wait_started("no_epoch", soon));
     }
 
-    // Guards against an entry for which nobody answers, as another writer may
-    // leave it (review/9): accepted jobs wait 30 s for it after each change of
-    // leaders.
+    // Guards against a listed address that does not answer, as another writer
+    // may leave it (review/9): accepted jobs wait 30 s for it after each change
+    // of leaders.
     void leader_listed_worker_that_was_never_used_is_not_waited_for()
     {
         leadership_harness harness(epoch);
