--- a/review/standins-3/cell.py
+++ b/review/standins-3/cell.py
@@ -37,6 +37,12 @@
           "hold_max_ms": HOLD_MAX_MS, "status_s": 120}
 
 
+# The two sites differ in the longest lease that a runner takes.
+def set_hold_max_ms(value):
+    global HOLD_MAX_MS
+    HOLD_MAX_MS = BOUNDS["hold_max_ms"] = value
+
+
 class CannotRun(Exception):
     """The case could not be set up, so it says nothing about the rule."""
 
@@ -224,6 +230,7 @@
         self.cut = False
         # Refuses calls like one whose machine is down.
         self.down = False
+        self.silent = False
         self.lock = threading.Condition()
         self.beat_at = 0.0
         self.heard_at = None
@@ -280,14 +287,16 @@
         self.beat_at = 0.0
         self.record.add("draining", runner=self.id)
 
-    def crash(self):
+    # A silent one leaves calls unanswered, others break off their channels.
+    def crash(self, silent=False):
         with self.lock:
             self.down = True
+            self.silent = silent
             for task, run in self.running.items():
                 self.record.add("lost", runner=self.id, task=task, run=run["run"])
             self.running = {}
             self.lock.notify_all()
-        self.record.add("crash", runner=self.id)
+        self.record.add("crash", runner=self.id, silent=silent)
 
     def restart(self, **changes):
         self.__dict__.update(changes)
@@ -319,25 +328,35 @@
 
     def handle(self, method, path, query, headers, body):
         if self.down:
-            return None
+            return self.give_up()
         time.sleep(self.one_way_s)
         while self.cut:
             time.sleep(0.01)
             if not self.cut:
                 return None
+        life = self.born
         result = self.answer(path, headers, body)
+        if result is None or life != self.born:
+            return self.give_up()
         time.sleep(self.one_way_s)
         # An answer that meets a cut is lost.
         if self.cut or self.down:
             while self.cut:
                 time.sleep(0.01)
-            return None
+            return self.give_up()
         return result
 
+    def give_up(self):
+        while self.down and self.silent:
+            time.sleep(0.05)
+        return None
+
     def answer(self, path, headers, body):
         if headers.get("Expect-Instance") not in (None, self.id):
             return 421, {"clock_ms": self.clock()}
         with self.lock:
+            if self.down:
+                return None
             token = body.get("fence_token", 0)
             if token < self.fence:
                 return self.refuse("fence")
@@ -494,14 +513,19 @@
                         for i, (zone, region) in enumerate(zones)]
 
     def free_ports(self, count):
+        """Ports below those that the system gives to outgoing channels."""
         found = []
         while len(found) < count:
+            port = random.randint(10000, 30000)
+            if port in self.used_ports:
+                continue
             with socket.socket() as probe:
-                probe.bind((LOOPBACK, 0))
-                port = probe.getsockname()[1]
-            if port not in self.used_ports:
-                self.used_ports.add(port)
-                found.append(port)
+                try:
+                    probe.bind((LOOPBACK, port))
+                except OSError:
+                    continue
+            self.used_ports.add(port)
+            found.append(port)
         return found
 
     def add_runner(self, *args, kind_of_runner=Runner, **kwargs):
