Keep a departing worker stored until it has left or its lease has expired

Cause: leadership::remove_departed took a worker out of the stored workers when it had announced its departure, was off the list, and neither the leader nor a daemon near it got an answer. That also holds for a worker that is cut off and runs on. The next leader reads the stored workers and did not wait for it.

Evidence: the second run has the number of a new leader, which never logged the worker as listed. The removal itself was not logged; it is now, with its reason.

Change: the platform removes the entry of a worker that has left at once, and that of a silent one after three report intervals. So the worker is forgotten at once only if its entry was removed sooner than that after its last report, else when its lease has expired. The time of a report is bounded from below by the last read of the list without it, so a slow store or leader only makes the wait longer. The report interval comes from the platform's settings.

--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -64,6 +64,10 @@
 
     fleet::fleet_options fleet;
 
+    // The interval at which workers report to the platform, which drops the
+    // entry of a worker after three of them without a report; 0 if unknown.
+    milliseconds worker_report_interval{0};
+
     // The interval of the status messages to peers, which are also the
     // heartbeats by which a lost leader is detected.
     milliseconds status_period{250};
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -2,6 +2,7 @@
 #define COLTSFOOTRACK_CELL_LEADERSHIP_HPP_INCLUDED
 
 #include <coltsfootrack/cell/cell_options.hpp>
+#include <coltsfootrack/cell/departure_detector.hpp>
 #include <coltsfootrack/cell/pause_detector.hpp>
 #include <coltsfootrack/cell/ports.hpp>
 #include <coltsfootrack/cell/row_committer.hpp>
@@ -205,6 +206,7 @@
     // The same for one worker; returns whether it has ends to forget.
     bool acknowledge_ends(const base::worker_id& worker, renewal_state& state);
     void remove_departed(const base::worker_id& id);
+    void log_removal(const base::worker_id& id, bool left) const;
     void renew_all();
     void renew(const base::worker_id& id, renewal_state& state);
     void probe_worker(const base::worker_id& id);
@@ -256,6 +258,7 @@
     // By job and row. Daemons limit how many they store.
     std::map<base::job_id, std::map<row_id, early_cancel>> early_cancel_rows_;
     worker_roster roster_;
+    departure_detector departures_;
     // The catalogue in force. Workers of a service that it does not name are
     // not asked for an answer.
     std::shared_ptr<const fleet::catalogue> catalogue_;
--- a/include/coltsfootrack/cell/table_follower.hpp
+++ b/include/coltsfootrack/cell/table_follower.hpp
@@ -52,6 +52,14 @@
     // earlier changes are not asked for any more.
     void skip_to(std::uint64_t version);
 
+    // While on_changes is called: a time before which none of its rows was
+    // written. The store answered an earlier read, sent at that time or later,
+    // without them.
+    base::time_point changed_after() const
+    {
+        return version_asked_at_;
+    }
+
 private:
     void on_read(std::uint64_t version);
     void call_hook(const std::function<void()>& hook) const;
@@ -72,6 +80,9 @@
     std::unique_ptr<table_reader> reader_;
     std::vector<stored_row> rows_;
     std::uint64_t version_ = 0;
+    // When the read in flight was sent, and the one that led to version_.
+    base::time_point asked_at_;
+    base::time_point version_asked_at_;
     // The last read of changes failed.
     bool failed_ = false;
     bool active_ = true;
--- a/include/coltsfootrack/cell/worker_roster.hpp
+++ b/include/coltsfootrack/cell/worker_roster.hpp
@@ -54,6 +54,9 @@
     // Removes a worker on which nothing can be running any more.
     void remove(const base::worker_id& worker);
 
+    // Whether a stored row names the worker, or the next one will.
+    bool contains(const base::worker_id& worker) const;
+
     // Whether a stored row names the worker.
     bool stored(const base::worker_id& worker) const;
 
--- a/include/coltsfootrack/daemon/control_loop.hpp
+++ b/include/coltsfootrack/daemon/control_loop.hpp
@@ -38,6 +38,12 @@
 
     control_loop(const base::clock& clock, std::size_t capacity);
 
+    // The clock of the timers.
+    const base::clock& clock() const
+    {
+        return clock_;
+    }
+
     // Called on the control thread with the delay of each event and timer. To
     // be set before the loop runs.
     using delay_observer = std::function<void(bool timer, base::duration)>;
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -189,6 +189,11 @@
         return standing_gaps_.size();
     }
 
+    // Whether nothing can be running on a known worker any more because of its
+    // lease.
+    bool lease_expired(const base::worker_id& worker,
+                       base::time_point now) const;
+
     // Whether a worker is listed or may still be running something.
     bool has_worker(const base::worker_id& worker) const;
 
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -45,6 +45,7 @@
     , fleet_(options_.fleet, clock.now())
     , begun_at_(clock.now())
     , roster_(layout.part_count())
+    , departures_(options.worker_report_interval)
     , last_round_(clock.now())
     , pauses_(options.paused_after, clock.now())
     , removing_(layout.part_count(), false)
@@ -383,21 +384,39 @@
     return fleet_.grant_lease(worker, clock_.now());
 }
 
-// A worker that announced its departure, is off the list and does not answer,
-// as a daemon near it confirms, has left with its tasks. Without this, the jobs
-// of a service would wait for the longest lease after each change of leaders
-// near such a departure.
+// Removes a worker from the stored ones that announced its departure, is off
+// the list and does not answer, as a daemon near it confirms. Otherwise the
+// jobs of a service would wait for its lease after each change of leaders near
+// such a departure. A worker that is cut off from the store and the daemons
+// looks the same and runs on, so the removal of its entry has to prove that it
+// has left, or its lease must have expired.
 void leadership::remove_departed(const base::worker_id& id)
 {
     const auto found = fleet_.workers().find(id);
-    if (found != fleet_.workers().end() && found->second.listing.leaving &&
-        !found->second.listed && found->second.unresponsive &&
-        found->second.silence_confirmed)
+    if (found == fleet_.workers().end() || !found->second.listing.leaving ||
+        found->second.listed || !found->second.unresponsive ||
+        !found->second.silence_confirmed)
     {
+        return;
+    }
+    const bool left = departures_.has_left(id);
+    if (left || fleet_.lease_expired(id, clock_.now()))
+    {
+        log_removal(id, left);
         roster_.remove(id);
     }
 }
 
+void leadership::log_removal(const base::worker_id& id, bool left) const
+{
+    if (roster_.contains(id))
+    {
+        base::log(base::log_level::info, log_part,
+                  "Departed worker no longer waited for. worker={} reason={}",
+                  id.text(), left ? "left" : "lease_expired");
+    }
+}
+
 void leadership::renew_all()
 {
     const base::time_point now = clock_.now();
@@ -412,6 +431,7 @@
         if (!fleet_.has_worker(it->first))
         {
             roster_.remove(it->first);
+            departures_.forget(it->first);
             it = renewals_.erase(it);
             continue;
         }
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -339,9 +339,14 @@
         const base::worker_id id(row.id.key);
         if (!row.exists())
         {
+            departures_.on_removed(id, clock_.now());
             unlist_worker(id);
             continue;
         }
+        if (!is_snapshot)
+        {
+            departures_.on_report(id, worker_follower_->changed_after());
+        }
         const auto listing = ports_.workers.read_listing(row.id.key, row.value);
         if (!listing.ok())
         {
@@ -375,6 +380,7 @@
         }
         for (const base::worker_id& id : gone)
         {
+            departures_.on_removed(id, clock_.now());
             unlist_worker(id);
         }
     }
@@ -421,7 +427,7 @@
 
 void leadership::unlist_worker(const base::worker_id& id)
 {
-    if (unstored_workers_.erase(id) > 0)
+    if (unstored_workers_.erase(id) > 0 && !fleet_.has_worker(id))
     {
         // It was never used.
         roster_.remove(id);
--- a/src/cell/table_follower.cpp
+++ b/src/cell/table_follower.cpp
@@ -40,6 +40,7 @@
 void table_follower::start()
 {
     rows_.clear();
+    version_asked_at_ = loop_.clock().now();
     table_reader::hooks callbacks;
     callbacks.on_answer = hooks_.on_answer;
     callbacks.on_rows =
@@ -131,6 +132,7 @@
     // After a failure or a rest the read does not wait for a change, since it
     // would then take seconds to learn that the store is back.
     const auto wait = failed_ ? std::chrono::milliseconds(0) : wait_;
+    asked_at_ = loop_.clock().now();
     store_.follow(table_, version_, wait,
                   [this, alive = std::weak_ptr<bool>(alive_),
                    &loop = loop_](read_result result)
@@ -167,6 +169,7 @@
     version_ = std::max(version_, result.version);
     if (result.rows.empty())
     {
+        version_asked_at_ = asked_at_;
         follow();
         return;
     }
@@ -176,6 +179,7 @@
     {
         return;
     }
+    version_asked_at_ = asked_at_;
     if (pause_.count() > 0)
     {
         run_after(pause_, [this] { follow(); });
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -102,6 +102,11 @@
     }
 }
 
+bool worker_roster::contains(const base::worker_id& worker) const
+{
+    return part_of(worker).entries.count(worker) != 0;
+}
+
 bool worker_roster::stored(const base::worker_id& worker) const
 {
     const part_state& part = part_of(worker);
--- a/src/fleet/fleet_round.cpp
+++ b/src/fleet/fleet_round.cpp
@@ -63,6 +63,13 @@
     return worker.lease.expired(time, leader_since_, !worker.listing.leaving);
 }
 
+bool fleet::lease_expired(const base::worker_id& worker,
+                          base::time_point now) const
+{
+    const auto found = workers_.find(worker);
+    return found != workers_.end() && lease_expired(found->second, now);
+}
+
 // Whether nothing can be running on a worker any more and no run end from it
 // waits to be read here. An expired lease is not enough: the worker may be
 // answering while this daemon is starved of CPU or its link is full.
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(leader_worker_of_unknown_service_uses_up_no_limit);
     CPPUNIT_TEST(leader_worker_of_unknown_service_is_used_once_named);
     CPPUNIT_TEST(leader_departed_worker_is_not_waited_for);
+    CPPUNIT_TEST(leader_departing_worker_is_stored_until_its_lease_expires);
+    CPPUNIT_TEST(leader_departing_worker_listed_again_stays_stored);
     CPPUNIT_TEST(leader_worker_with_unstored_end_is_not_asked_at_each_write);
     CPPUNIT_TEST(leader_isolated_grants_no_lease_and_starts_nothing);
     CPPUNIT_TEST(leader_job_of_later_epoch_steps_down);
@@ -235,7 +237,9 @@
     // One that did not announce it may be cut off, with its tasks running.
     void leader_departed_worker_is_not_waited_for()
     {
-        leadership_harness harness(epoch);
+        cell_options options;
+        options.worker_report_interval = milliseconds(1500);
+        leadership_harness harness(epoch, options);
         harness.add_worker("w1", true);
         harness.add_worker("w2", true);
         harness.add_worker("w3", true);
@@ -258,6 +262,45 @@
         CPPUNIT_ASSERT(harness.wait_stored("w2", milliseconds(2000)));
     }
 
+    // Guards against two runs of a task (review/12): a worker that announced
+    // its departure is cut off, and its entry expires while its lease lasts. A
+    // leader that takes over right then starts its tasks elsewhere.
+    void leader_departing_worker_is_stored_until_its_lease_expires()
+    {
+        leadership_harness harness(epoch, reporting_workers());
+        harness.add_worker("w1", true);
+        harness.add_worker("w2", true);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        CPPUNIT_ASSERT(harness.wait_stored("w2", soon));
+        harness.run([&] { harness.announce_departure("w2"); });
+        // Its last report is three intervals old when the entry is removed.
+        CPPUNIT_ASSERT(!harness.wait_not_stored("w2", milliseconds(700)));
+        harness.run([&] { harness.remove_worker("w2"); });
+        CPPUNIT_ASSERT(!harness.wait_not_stored("w2", milliseconds(1700)));
+        CPPUNIT_ASSERT(harness.wait_not_stored("w2", milliseconds(2000)));
+    }
+
+    // Guards against the loss of the stored entry of a worker in use, which is
+    // listed again for a moment only.
+    void leader_departing_worker_listed_again_stays_stored()
+    {
+        leadership_harness harness(epoch, reporting_workers());
+        harness.add_worker("w1", true);
+        harness.add_worker("w2", true);
+        harness.begin();
+        CPPUNIT_ASSERT(harness.wait_loaded(soon));
+        CPPUNIT_ASSERT(harness.wait_stored("w2", soon));
+        harness.run([&] { harness.announce_departure("w2"); });
+        CPPUNIT_ASSERT(!harness.wait_not_stored("w2", milliseconds(700)));
+        harness.run([&] { harness.remove_worker("w2"); });
+        std::this_thread::sleep_for(milliseconds(100));
+        harness.run([&] { harness.announce_departure("w2"); });
+        std::this_thread::sleep_for(milliseconds(700));
+        harness.run([&] { harness.remove_worker("w2"); });
+        CPPUNIT_ASSERT(!harness.wait_not_stored("w2", milliseconds(300)));
+    }
+
     // The load that it answers: many jobs end while the end of one is not
     // stored yet. Each renewal costs a thin link two frames and tells nothing
     // new.
@@ -393,6 +436,16 @@
     }
 
 private:
+    // Workers that report every 200 ms, and short leases.
+    static cell_options reporting_workers()
+    {
+        cell_options options;
+        options.worker_report_interval = milliseconds(200);
+        options.fleet.lease = milliseconds(2000);
+        options.fleet.longest_lease = options.fleet.lease;
+        return options;
+    }
+
     static cell_options short_retention()
     {
         cell_options options;
--- a/test/cell/table_follower_test.cpp
+++ b/test/cell/table_follower_test.cpp
@@ -39,6 +39,7 @@
         {
             followed_from = after;
             followed_wait = wait;
+            followed_at.push_back(clock_.now());
             follows.push_back(done);
         };
         table_follower::hooks callbacks;
@@ -51,6 +52,7 @@
         };
         callbacks.on_changes = [this](const std::vector<stored_row>& /*rows*/)
         {
+            changed_after = follower_->changed_after();
             fail();
         };
         follower_ = std::make_unique<table_follower>(
@@ -126,7 +128,10 @@
 
     std::vector<std::pair<std::string, store_port::read_callback>> reads;
     std::vector<store_port::read_callback> follows;
+    std::vector<base::time_point> followed_at;
     std::vector<std::vector<stored_row>> snapshots;
+    // The bound at the last change.
+    base::time_point changed_after;
     // Whether the hooks throw.
     bool throwing = false;
     std::uint64_t followed_from = 0;
@@ -158,6 +163,7 @@
     CPPUNIT_TEST(failed_part_alone_is_read_again);
     CPPUNIT_TEST(hook_throws_table_is_still_followed);
     CPPUNIT_TEST(failed_follow_is_retried_without_wait);
+    CPPUNIT_TEST(changed_after_is_the_last_read_without_the_change);
     CPPUNIT_TEST(follower_inactive_asks_nothing_until_active);
     CPPUNIT_TEST_SUITE_END();
 
@@ -245,6 +251,44 @@
         CPPUNIT_ASSERT(table.followed_wait == milliseconds(1500));
     }
 
+    // Guards against an age of a change that is too small, since its row was
+    // written long before the read that shows it is answered.
+    void changed_after_is_the_last_read_without_the_change()
+    {
+        followed_table table;
+        for (std::size_t i = 0; i < 3; ++i)
+        {
+            table.answer(i, followed_table::page(table.reads[i].first, 7));
+        }
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 1; }));
+        read_result nothing_new;
+        nothing_new.status = read_status::ok;
+        nothing_new.version = 9;
+        table.answer_follow(0, nothing_new);
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 2; }));
+        // A failure shows nothing.
+        table.answer_follow(1, read_result());
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 3; }));
+        table.answer_follow(2, followed_table::page("a", 11));
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 4; }));
+        table.run(
+            [&]
+            { CPPUNIT_ASSERT(table.changed_after <= table.followed_at[0]); });
+        table.answer_follow(3, followed_table::page("a", 12));
+        CPPUNIT_ASSERT(
+            table.wait_for([&] { return table.follows.size() == 5; }));
+        table.run(
+            [&]
+            {
+                CPPUNIT_ASSERT(table.changed_after > table.followed_at[1]);
+                CPPUNIT_ASSERT(table.changed_after <= table.followed_at[2]);
+            });
+    }
+
     // Guards against changes that are missed, or read twice at a time, when the
     // following of a table ends and begins again.
     void follower_inactive_asks_nothing_until_active()
--- a/test/platform/names_and_settings_test.cpp
+++ b/test/platform/names_and_settings_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(settings_with_comments_are_read);
     CPPUNIT_TEST(settings_advertised_peer_is_optional_and_checked);
     CPPUNIT_TEST(settings_link_rate_is_optional_and_checked);
+    CPPUNIT_TEST(settings_report_interval_is_optional_and_checked);
     CPPUNIT_TEST(settings_missing_field_is_an_error);
     CPPUNIT_TEST(settings_missing_file_is_an_error);
     CPPUNIT_TEST_SUITE_END();
@@ -113,6 +114,26 @@
         }
     }
 
+    void settings_report_interval_is_optional_and_checked()
+    {
+        nlohmann::json given = valid_settings();
+        CPPUNIT_ASSERT_EQUAL(
+            std::int64_t{0},
+            std::int64_t{
+                parse_settings(given.dump())->worker_report_interval.count()});
+        given["worker_report_ms"] = nullptr;
+        CPPUNIT_ASSERT(parse_settings(given.dump()).ok());
+        given["worker_report_ms"] = 1500;
+        CPPUNIT_ASSERT(parse_settings(given.dump())->worker_report_interval ==
+                       std::chrono::milliseconds(1500));
+        for (const nlohmann::json& value :
+             {nlohmann::json(-1), nlohmann::json("often")})
+        {
+            given["worker_report_ms"] = value;
+            CPPUNIT_ASSERT(!parse_settings(given.dump()).ok());
+        }
+    }
+
     void settings_with_comments_are_read()
     {
         CPPUNIT_ASSERT(
