Wait for the workers of every service that a job has had

Cause: an inherited job waited only for workers of the service that its queue names now. The run was started while the queue named another one, on a worker that had not reported yet. The log shows the start 7 ms after the first report of the new service's worker and 16 ms before that of the former one's.

Change: the row of a job holds the service of its queue when the job was accepted. Before its first start on another service, the leader stores that service with the progress. A new leader waits for the workers of all of them, each under the service of its stored entry as well as of the listed one. Every start of a former leader is on a service that was stored first, so no worker that may have the run is left out; others are not waited for.

--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -319,6 +319,10 @@
                          const std::vector<step_record>& steps,
                          const jobs::step_spec& spec, const queue_policy& queue,
                          base::time_point now) const;
+    bool may_run_unseen(const job_record& job,
+                        const jobs::step_spec& spec) const;
+    bool is_service_stored(job_record& job);
+    void log_moving_jobs(const std::vector<const job_record*>& moving);
     void charge_share(job_record& job);
     std::vector<candidate> candidates(base::time_point now);
     void add_candidates(job_record& job, service_round& round,
@@ -462,6 +466,8 @@
     // For the current round: the part of usage_ held by runs that have ended
     // with their lease, though their worker has not said so.
     std::map<base::team_id, base::resources> lapsed_usage_;
+    // The jobs of the last round that waited since their queue has moved.
+    std::size_t moving_jobs_ = 0;
     // For the current round: an upper bound on what any team may be running on
     // workers whose runs are not known.
     base::resources unknown_usage_;
--- a/include/coltsfootrack/fleet/job_record.hpp
+++ b/include/coltsfootrack/fleet/job_record.hpp
@@ -102,6 +102,10 @@
     // Submitted under a former leader or none, so that a former leader may have
     // started its tasks.
     bool inherited = false;
+    // The services on whose workers a leader may have started its tasks, and
+    // the change from which on the stored rows name all of them.
+    jobs::service_set services;
+    std::uint64_t services_change = 0;
     // A task has started, as a worker or the stored progress shows.
     bool started = false;
     // Counts the changes of the progress; the last one whose save was ordered,
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -43,6 +43,9 @@
     static constexpr std::size_t max_failed_runs = 16;
 
     worker_listing listing;
+    // The service under which a former leader may have used it; its entry may
+    // have changed since.
+    std::optional<base::service_id> former_service;
     // Unique among the workers of the fleet; indexes tables of workers.
     int number = 0;
     // On the platform's list now.
--- a/include/coltsfootrack/jobs/job_progress.hpp
+++ b/include/coltsfootrack/jobs/job_progress.hpp
@@ -3,6 +3,7 @@
 
 #include <coltsfootrack/jobs/index_ranges.hpp>
 #include <coltsfootrack/jobs/job_state.hpp>
+#include <coltsfootrack/jobs/service_set.hpp>
 #include <coltsfootrack/jobs/step_progress.hpp>
 
 #include <absl/status/statusor.h>
@@ -24,11 +25,14 @@
     index_ranges finished;
     // The steps of the others, keyed by occurrence and step.
     std::map<std::pair<int, int>, step_progress> steps;
+    // The services on which tasks may have been started, besides that of the
+    // submission.
+    service_set services;
 
     friend bool operator==(const job_progress& a, const job_progress& b)
     {
-        return std::tie(a.state, a.finished, a.steps) ==
-               std::tie(b.state, b.finished, b.steps);
+        return std::tie(a.state, a.finished, a.steps, a.services) ==
+               std::tie(b.state, b.finished, b.steps, b.services);
     }
 
     friend bool operator!=(const job_progress& a, const job_progress& b)
--- a/include/coltsfootrack/jobs/job_submission.hpp
+++ b/include/coltsfootrack/jobs/job_submission.hpp
@@ -27,12 +27,17 @@
     // earlier leader also reads the row, and may start the job on a worker that
     // a later leader has not heard from yet.
     std::uint64_t leader_epoch = 0;
+    // The service of the queue in the catalogue of that daemon; empty in rows
+    // of former versions. A leader that starts a task on another one stores
+    // that first, in job_progress::services.
+    base::service_id service;
     job_spec spec;
 
     friend bool operator==(const job_submission& a, const job_submission& b)
     {
-        return std::tie(a.queue, a.team, a.submitted, a.leader_epoch, a.spec) ==
-               std::tie(b.queue, b.team, b.submitted, b.leader_epoch, b.spec);
+        return std::tie(a.queue, a.team, a.submitted, a.leader_epoch, a.service,
+                        a.spec) == std::tie(b.queue, b.team, b.submitted,
+                                            b.leader_epoch, b.service, b.spec);
     }
 
     friend bool operator!=(const job_submission& a, const job_submission& b)
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -226,6 +226,10 @@
         jobs::job_submission stored = job;
         const auto& leader = election_.row();
         stored.leader_epoch = leader ? leader->epoch : 0;
+        const auto known = catalogue();
+        const fleet::queue_policy* queue =
+            known ? known->queue(stored.queue) : nullptr;
+        stored.service = queue != nullptr ? queue->service : base::service_id();
         const std::string row = jobs::encode(stored);
         if (row.size() > options_.max_row_bytes)
         {
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -419,10 +419,17 @@
         }
         return;
     }
-    roster_.add(listing);
     unstored_workers_.erase(listing.worker);
     renewals_.try_emplace(listing.worker);
     fleet_.list_worker(listing, clock_.now());
+    // Until the worker has reported, the row keeps the service under which a
+    // former leader used it.
+    const fleet::worker_record& worker = fleet_.workers().at(listing.worker);
+    if (worker.synced ||
+        worker.former_service.value_or(listing.service) == listing.service)
+    {
+        roster_.add(listing);
+    }
 }
 
 void leadership::unlist_worker(const base::worker_id& id)
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -105,16 +105,6 @@
     return job.over_share ? rank + over_share_rank : rank;
 }
 
-// Whether tasks of a step may be running on a worker that has not reported to
-// this leader. A standing task has no end that may wait there to be read, so it
-// waits for leases only.
-bool may_run_unseen(const job_record& job, const jobs::step_spec& spec,
-                    const service_round& round)
-{
-    return job.inherited &&
-           (spec.standing ? round.lease_possible : round.runs_unknown);
-}
-
 } // namespace
 
 bool fleet::step_ready(const std::vector<step_record>& steps,
@@ -167,14 +157,22 @@
 {
     find_schedulable_workers(now);
     std::vector<candidate> found;
+    std::vector<const job_record*> moving;
     for (const auto& [id, job] : open_jobs_)
     {
         if (job->queue == nullptr)
         {
             continue;
         }
+        const std::size_t before = found.size();
         add_candidates(*job, rounds_[job->queue->service], now, found);
+        if (found.size() > before && !is_service_stored(*job))
+        {
+            found.resize(before);
+            moving.push_back(job);
+        }
     }
+    log_moving_jobs(moving);
     std::sort(found.begin(), found.end());
     return found;
 }
@@ -198,7 +196,7 @@
                 continue;
             }
             const jobs::step_spec& spec = spec_of(job, static_cast<int>(s));
-            if (may_run_unseen(job, spec, round))
+            if (may_run_unseen(job, spec))
             {
                 continue;
             }
@@ -278,6 +276,12 @@
             runs_unknown && !lease_expired(worker, now - late);
         round.lease_possible =
             round.lease_possible || !list_complete_ || lease_possible;
+        if (runs_unknown && worker.former_service)
+        {
+            service_round& former = rounds_[*worker.former_service];
+            former.runs_unknown = true;
+            former.lease_possible = former.lease_possible || lease_possible;
+        }
         if (lease_possible || worker.unknown_size_runs > 0)
         {
             unknown_usage_ += worker.listing.capacity;
--- a/src/fleet/fleet_jobs.cpp
+++ b/src/fleet/fleet_jobs.cpp
@@ -117,6 +117,9 @@
     job.id = id;
     job.submission = submission;
     job.inherited = inherited;
+    job.services = submission.service.empty() ? jobs::service_set::any()
+                                              : progress.services;
+    job.services.add(submission.service);
     job.state = progress.state;
     job.saved_state = progress.state;
     // The clocks of VMs differ, so the age is limited to between zero and a
@@ -341,6 +344,10 @@
                       ? jobs::job_state::running
                       : job.state;
     value.finished = job.finished;
+    if (!job.submission.service.empty())
+    {
+        value.services = job.services.without(job.submission.service);
+    }
     for (const auto& [k, steps] : job.occurrences)
     {
         for (std::size_t s = 0; s < steps.size(); ++s)
@@ -461,8 +468,11 @@
         if (job != nullptr && job->change_ordered < job->change)
         {
             job->change_ordered = job->change;
-            orders.push_back(save_order{id, job->change, progress_text(*job),
-                                        job->has_final_state()});
+            // A caller waits for a final state, and tasks for a new service.
+            const bool urgent = job->has_final_state() ||
+                                job->change_saved < job->services_change;
+            orders.push_back(
+                save_order{id, job->change, progress_text(*job), urgent});
         }
     }
     unsaved_jobs_.clear();
--- a/src/fleet/fleet_standing.cpp
+++ b/src/fleet/fleet_standing.cpp
@@ -59,6 +59,10 @@
     {
         return "queue";
     }
+    if (job.change_saved < job.services_change)
+    {
+        return "store";
+    }
     if (waiting == nullptr)
     {
         return "reports";
--- a/src/fleet/fleet_workers.cpp
+++ b/src/fleet/fleet_workers.cpp
@@ -59,6 +59,7 @@
         {
             list_worker(listing, now);
             unlist_worker(listing.worker);
+            workers_.at(listing.worker).former_service = listing.service;
         }
     }
 }
--- a/src/jobs/job_progress.cpp
+++ b/src/jobs/job_progress.cpp
@@ -126,6 +126,35 @@
     return step;
 }
 
+// The names, or true for every service.
+json to_json(const service_set& services)
+{
+    if (services.is_any())
+    {
+        return true;
+    }
+    json names = json::array();
+    for (const base::service_id& service : services.names())
+    {
+        names.push_back(service.text());
+    }
+    return names;
+}
+
+service_set services_of(const json& in)
+{
+    if (in.is_boolean() && in.get<bool>())
+    {
+        return service_set::any();
+    }
+    service_set services;
+    for (const json& name : in.get_ref<const json::array_t&>())
+    {
+        services.add(base::service_id(name.get<std::string>()));
+    }
+    return services;
+}
+
 } // namespace
 
 std::string encode(const job_progress& value)
@@ -147,6 +176,10 @@
             steps.push_back(to_json(key, step));
         }
     }
+    if (!is_final(value.state) && value.services != service_set())
+    {
+        out["services"] = to_json(value.services);
+    }
     return out.dump();
 }
 
@@ -179,6 +212,10 @@
             value.steps[{step.at(0).get<int>(), step.at(1).get<int>()}] =
                 step_of(step);
         }
+        if (in.contains("services"))
+        {
+            value.services = services_of(in.at("services"));
+        }
         for (const json& step : in.value("steps", json::array()))
         {
             value.steps[{step.at(0).get<int>(), step.at(1).get<int>()}] =
--- a/src/jobs/job_submission.cpp
+++ b/src/jobs/job_submission.cpp
@@ -97,6 +97,7 @@
                 {"payload", value.spec.payload}};
     put(out, "team", value.team.text());
     put(out, "leader_epoch", value.leader_epoch);
+    put(out, "service", value.service.text());
     json& steps = out["steps"] = json::array();
     for (const step_spec& step : value.spec.steps)
     {
@@ -121,6 +122,7 @@
         value.team = base::team_id(in.value("team", std::string()));
         value.submitted = time_of(in.at("submitted_ms").get<std::int64_t>());
         value.leader_epoch = in.value("leader_epoch", std::uint64_t{0});
+        value.service = base::service_id(in.value("service", std::string()));
         value.spec.payload = in.at("payload").get<std::string>();
         for (const json& step : in.at("steps"))
         {
--- a/test/jobs/stored_rows_test.cpp
+++ b/test/jobs/stored_rows_test.cpp
@@ -47,6 +47,8 @@
     job.team = base::team_id(*rc::gen::element<std::string>("", "t"));
     job.submitted = std::chrono::system_clock::time_point(
         std::chrono::milliseconds(*rc::gen::inRange(0, 2000000000)));
+    job.service =
+        base::service_id(*rc::gen::element<std::string>("", "s", "\"{}\\"));
     job.spec.payload = *rc::gen::element<std::string>("", "text", "\"{}\\");
     const int steps = *rc::gen::inRange(1, 6);
     for (int i = 0; i < steps; ++i)
@@ -74,6 +76,11 @@
         const int first = *rc::gen::inRange(1, 9000);
         value.finished.insert_range(first, first + *rc::gen::inRange(0, 900));
     }
+    const int services = *rc::gen::inRange(0, 7);
+    for (int i = 0; i < services; ++i)
+    {
+        value.services.add(base::service_id(std::to_string(i)));
+    }
     const int steps = *rc::gen::inRange(0, 5);
     for (int i = 0; i < steps; ++i)
     {
