Do not keep idle workers stored that do not answer

Cause: a new leader waits for each stored worker, since a former one may have started tasks there. The former leader knew that nothing could run on this one, and kept it stored. The wait is the longest lease from the takeover, and 10 s more without a daemon in the zone. The 15 first reports came within 0.1 s of the takeover.

Change: a worker that has left two renewals unanswered and on which nothing can be running is taken out of the stored ones. Before a planned change of leaders the idle workers are asked, for 0.25 s at most, and the silent ones taken out as well. Such a worker gets no task before a row names it again, so each start of a former leader is still on a worker that the next one waits for. A start without an outcome, an unread end, one that is not stored and a restart without a report keep a worker stored. A log line names the workers that inherited jobs wait for.

Three tests of the leadership had idle workers stand in for workers with runs; theirs report a run now, and assert the same.

--- a/include/coltsfootrack/cell/cell_daemon.hpp
+++ b/include/coltsfootrack/cell/cell_daemon.hpp
@@ -190,6 +190,7 @@
     void elect();
     void write_claim(const leader_row& claim);
     void start_leading(std::uint64_t epoch);
+    void resign();
     void step_down(const std::string& reason);
     void commit();
     void notify_leader(const wire::message& value);
--- a/include/coltsfootrack/cell/cell_options.hpp
+++ b/include/coltsfootrack/cell/cell_options.hpp
@@ -115,6 +115,11 @@
     // status periods. With paused_after it exceeds isolated_after, so that a
     // leader without peers counts as isolated by then.
     milliseconds peers_confirm_after{600};
+    // A leader that is being stopped waits this long for the answers of idle
+    // workers, and in all this long before it hands over: peers take over from
+    // one that is lost after 1.2 s.
+    milliseconds idle_answer_timeout{250};
+    milliseconds hand_over_timeout{600};
     // The minimum time between two scheduling rounds, so that a burst of events
     // shares one.
     milliseconds min_round_interval{8};
--- a/include/coltsfootrack/cell/leader_election.hpp
+++ b/include/coltsfootrack/cell/leader_election.hpp
@@ -51,6 +51,11 @@
     // This daemon is being stopped and makes no more claims.
     void stop();
 
+    bool stopping() const
+    {
+        return stopping_;
+    }
+
     // The row to write now, if the stored row still has the known version.
     // nullopt while there is a leader or another candidate comes first.
     std::optional<leader_row> next_claim(base::time_point now);
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -92,6 +93,11 @@
     void on_job(const base::job_id& id, const std::string& row);
     void on_cancel(const base::job_id& id);
 
+    // Makes a planned change of leaders quick: idle workers that do not answer
+    // now are not stored any more, so that the next leader does not wait for
+    // them. Calls `ready` once, unless the leadership ends before.
+    void prepare_hand_over(std::function<void()> ready);
+
     // Whether the jobs are loaded.
     bool loaded() const
     {
@@ -141,6 +147,16 @@
         base::time_point next_at;
     };
 
+    // A planned change of leaders that is being prepared.
+    struct hand_over
+    {
+        // The idle workers that have not answered since.
+        std::set<base::worker_id> silent;
+        // Those are withdrawn, and stored no more once the rows are written.
+        bool withdrawn = false;
+        std::function<void()> ready;
+    };
+
     // A cancellation that was stored when its job was not.
     struct early_cancel
     {
@@ -207,6 +223,11 @@
     bool acknowledge_ends(const base::worker_id& worker, renewal_state& state);
     void remove_departed(const base::worker_id& id);
     void log_removal(const base::worker_id& id, bool left) const;
+    void withdraw_idle_worker(const base::worker_id& id);
+    void reuse_stored_workers();
+    void note_answer(const base::worker_id& id);
+    void withdraw_silent_workers();
+    void check_hand_over();
     void renew_all();
     void renew(const base::worker_id& id, renewal_state& state);
     void probe_worker(const base::worker_id& id);
@@ -265,6 +286,10 @@
     // Not used until a stored row names them.
     std::map<base::worker_id, unstored_worker> unstored_workers_;
     std::map<base::worker_id, renewal_state> renewals_;
+    // Idle workers that were taken out of the stored ones, and get no tasks
+    // until they are stored again.
+    std::set<base::worker_id> withdrawn_workers_;
+    std::optional<hand_over> hand_over_;
     // What daemons stored before the jobs were loaded.
     std::map<base::job_id, std::string> early_jobs_;
     std::vector<base::job_id> early_cancels_;
--- a/include/coltsfootrack/cell/worker_roster.hpp
+++ b/include/coltsfootrack/cell/worker_roster.hpp
@@ -60,6 +60,9 @@
     // Whether a stored row names the worker.
     bool stored(const base::worker_id& worker) const;
 
+    // Whether each row is stored as it is now.
+    bool all_stored() const;
+
     // The row of a part, if it has changed since the last call.
     std::optional<row_write> next_write(std::size_t part);
 
--- a/include/coltsfootrack/fleet/fleet.hpp
+++ b/include/coltsfootrack/fleet/fleet.hpp
@@ -86,6 +86,14 @@
     void expect_workers(const std::vector<worker_listing>& workers,
                         base::time_point now);
 
+    // Whether nothing is running on a worker nor can be: it has reported in
+    // full, each run that a report showed or an order may have started has
+    // ended, and its ends are stored. False for an unknown worker.
+    bool is_idle(const base::worker_id& worker) const;
+
+    // While held, no task is started on a worker.
+    void hold_starts(const base::worker_id& worker, bool held);
+
     // A worker is no longer on the list. It is kept while it answers and until
     // nothing can be running on it.
     void unlist_worker(const base::worker_id& worker);
@@ -323,6 +331,7 @@
                         const jobs::step_spec& spec) const;
     bool is_service_stored(job_record& job);
     void log_moving_jobs(const std::vector<const job_record*>& moving);
+    void log_unseen_workers(base::time_point now);
     void charge_share(job_record& job);
     std::vector<candidate> candidates(base::time_point now);
     void add_candidates(job_record& job, service_round& round,
@@ -466,8 +475,10 @@
     // For the current round: the part of usage_ held by runs that have ended
     // with their lease, though their worker has not said so.
     std::map<base::team_id, base::resources> lapsed_usage_;
-    // The jobs of the last round that waited since their queue has moved.
+    // The jobs of the last round that waited since their queue has moved, and
+    // the number of workers that inherited jobs waited for.
     std::size_t moving_jobs_ = 0;
+    std::size_t unseen_workers_ = 0;
     // For the current round: an upper bound on what any team may be running on
     // workers whose runs are not known.
     base::resources unknown_usage_;
--- a/include/coltsfootrack/fleet/worker_record.hpp
+++ b/include/coltsfootrack/fleet/worker_record.hpp
@@ -52,6 +52,8 @@
     bool listed = true;
     // Has reported to this leader in full, so that its runs are known.
     bool synced = false;
+    // Gets no tasks, since no stored row names it.
+    bool starts_held = false;
     // The last renewal was not answered, or another worker answered at its
     // address.
     bool unresponsive = false;
--- a/src/cell/cell_daemon.cpp
+++ b/src/cell/cell_daemon.cpp
@@ -212,11 +212,27 @@
     loop_.post(
         [this]
         {
-            election_.stop();
-            send_status();
+            if (!leadership_)
+            {
+                resign();
+                return;
+            }
+            loop_.after(options_.hand_over_timeout, [this] { resign(); });
+            leadership_->prepare_hand_over([this] { resign(); });
         });
 }
 
+// Tells the peers that this daemon is being stopped; the next leader takes over
+// at once.
+void cell_daemon::resign()
+{
+    if (!election_.stopping())
+    {
+        election_.stop();
+        send_status();
+    }
+}
+
 void cell_daemon::submit(const base::job_id& id,
                          const jobs::job_submission& job,
                          const cancel_right& right, status_callback done)
--- a/src/cell/cell_daemon_peers.cpp
+++ b/src/cell/cell_daemon_peers.cpp
@@ -266,9 +266,9 @@
         status.leader = row->daemon;
     }
     status.leading = leadership_ != nullptr;
+    status.stopping = election_.stopping();
     {
         const std::lock_guard<std::mutex> lock(mutex_);
-        status.stopping = shared_.stopping;
         status.catalogue_version =
             shared_.catalogue ? shared_.catalogue->version : 0;
     }
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -503,6 +503,7 @@
                 {
                     result.report.sent_at = now;
                     fleet_.on_report(id, result.report, clock_.now());
+                    note_answer(id);
                     request_round();
                 }
             }));
@@ -521,9 +522,16 @@
         {
             fleet_.on_replaced(id);
         }
+        const auto failed = fleet_.workers().find(id);
+        const bool again =
+            failed != fleet_.workers().end() && failed->second.unresponsive;
         fleet_.on_renewal_failed(id, result.report.sent_at,
                                  result.confirmed_unanswered);
         remove_departed(id);
+        if (again)
+        {
+            withdraw_idle_worker(id);
+        }
         state.next_at = now + options_.renewal_retry_pause;
         loop_.after(options_.renewal_retry_pause,
                     guarded([this] { request_round(); }));
--- a/src/cell/leadership_takeover.cpp
+++ b/src/cell/leadership_takeover.cpp
@@ -539,7 +539,9 @@
                     return;
                 }
                 roster_.on_stored(part, change);
+                reuse_stored_workers();
                 list_stored_workers();
+                check_hand_over();
             });
     }
 }
--- a/src/cell/worker_roster.cpp
+++ b/src/cell/worker_roster.cpp
@@ -114,6 +114,13 @@
     return found != part.entries.end() && found->second.added_by <= part.stored;
 }
 
+bool worker_roster::all_stored() const
+{
+    return std::all_of(parts_.begin(), parts_.end(),
+                       [](const part_state& part)
+                       { return part.stored == part.changes; });
+}
+
 std::optional<worker_roster::row_write>
 worker_roster::next_write(std::size_t part)
 {
--- a/src/fleet/fleet_candidates.cpp
+++ b/src/fleet/fleet_candidates.cpp
@@ -173,6 +173,7 @@
         }
     }
     log_moving_jobs(moving);
+    log_unseen_workers(now);
     std::sort(found.begin(), found.end());
     return found;
 }
@@ -291,9 +292,10 @@
         worker.held_room = base::resources();
         worker.held_leftover = 0;
         worker.victims.clear();
-        worker.schedulable =
-            worker.listed && worker.synced && !worker.unresponsive &&
-            worker.unknown_size_runs == 0 && !worker.listing.leaving;
+        worker.schedulable = worker.listed && worker.synced &&
+                             !worker.unresponsive && !worker.starts_held &&
+                             worker.unknown_size_runs == 0 &&
+                             !worker.listing.leaving;
         if (worker.unresponsive)
         {
             collect_lapsed_usage(worker, now);
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -196,6 +196,7 @@
                 result.report.ended.push_back(end);
             }
         }
+        result.report.running = reported_runs_[worker.worker.text()];
         leases_ += renewal.lease_end ? 1 : 0;
         unstored_worker_used_ =
             unstored_worker_used_ ||
@@ -270,6 +271,19 @@
     ends.push_back(end);
 }
 
+void leadership_harness::report_run(const std::string& worker)
+{
+    fleet::listed_run listed;
+    listed.task = {{base::job_id("run-on-" + worker), 0, 0}, 0};
+    listed.run = 1;
+    reported_runs_[worker].push_back(listed);
+}
+
+bool leadership_harness::wait_hand_over(milliseconds limit)
+{
+    return wait_for([this] { return hand_over_ready_; }, limit);
+}
+
 void leadership_harness::hold_writes(const std::string& job, bool held)
 {
     const std::size_t part = layout_.part_of(base::job_id(job));
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -56,6 +56,25 @@
     // job. Call inside run().
     void report_end(const std::string& worker, const std::string& job);
 
+    // From now on the reports of a worker list a run of a job that is not
+    // stored. Call inside run().
+    void report_run(const std::string& worker);
+
+    // A worker does not answer any more; its row stays. Call inside run().
+    void fall_silent(const std::string& worker)
+    {
+        unresponsive_.insert(worker);
+    }
+
+    // The leader is to hand over as planned. Call inside run().
+    void prepare_hand_over()
+    {
+        leadership_->prepare_hand_over([this] { hand_over_ready_ = true; });
+    }
+
+    // Waits until the leader may be replaced; false if the limit passes.
+    bool wait_hand_over(std::chrono::milliseconds limit);
+
     // Whether the writes of the part of a job are held back. Call inside run().
     void hold_writes(const std::string& job, bool held);
 
@@ -228,6 +247,8 @@
     fake_store store_;
     std::set<std::string> unresponsive_;
     std::map<std::string, std::vector<fleet::run_end>> reported_ends_;
+    std::map<std::string, std::vector<fleet::listed_run>> reported_runs_;
+    bool hand_over_ready_ = false;
     std::map<std::string, int> renewal_counts_;
     std::set<std::size_t> held_parts_;
     std::vector<fleet::start_order> starts_;
