Confirm the silence of a worker in a zone that has no daemon left

Cause: the silence of a worker counts after its lease if a daemon of its zone confirms it, else 10 s later. A zone without a daemon has nobody to confirm it, though the other workers there answer.

Change: in that case, if the worker is off the platform's list, the leader calls another worker of the zone at the same time in the same way. An answer of that one shows that the way is not at fault, and confirms the silence of the first. As before, two renewals that were sent after the lease must be confirmed. A zone that is cut off has no such answer, and the longer wait.

--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -231,6 +231,9 @@
     void renew_all();
     void renew(const base::worker_id& id, renewal_state& state);
     void probe_worker(const base::worker_id& id);
+    void check_way_to(const fleet::worker_record& silent);
+    bool is_silence_confirmed(const fleet::worker_record& worker,
+                              const renewal_result& result) const;
     std::chrono::milliseconds renewal_wait() const;
     void on_renewed(const base::worker_id& id, const renewal_result& result);
     // The kinds of calls to workers, for the metrics.
@@ -286,6 +289,10 @@
     // Not used until a stored row names them.
     std::map<base::worker_id, unstored_worker> unstored_workers_;
     std::map<base::worker_id, renewal_state> renewals_;
+    // When the newest call was sent to each zone that a worker there has
+    // answered, of those that check_way_to made; and their number.
+    std::map<base::zone_id, base::time_point> way_checked_;
+    std::size_t way_checks_ = 0;
     // Idle workers that were taken out of the stored ones, and get no tasks
     // until they are stored again.
     std::set<base::worker_id> withdrawn_workers_;
--- a/include/coltsfootrack/cell/lease_renewal.hpp
+++ b/include/coltsfootrack/cell/lease_renewal.hpp
@@ -30,6 +30,8 @@
     // unresponsive peer nor a full link must be taken for an unresponsive
     // worker.
     bool unresponsive = false;
+    // The leader calls the worker itself, and no peer does.
+    bool direct = false;
 };
 
 // The answer to a lease_renewal.
@@ -44,6 +46,9 @@
     // The leader got no answer, nor did a peer in the worker's zone, which said
     // so; or the leader is the only daemon of that zone.
     bool confirmed_unanswered = false;
+    // The leader got no answer, and there is no daemon in the worker's zone
+    // that could confirm it.
+    bool no_daemon_near = false;
 };
 
 } // namespace coltsfootrack::cell
--- a/src/cell/leadership.cpp
+++ b/src/cell/leadership.cpp
@@ -457,6 +457,10 @@
     request.send_by = now + options_.send_limit;
     state.in_flight = true;
     state.acknowledged = request.acknowledged;
+    if (worker.unresponsive && !worker.listed && fleet_.lease_expired(id, now))
+    {
+        check_way_to(worker);
+    }
     ports_.workers.renew(worker.listing, request,
                          posted<renewal_result>(
                              [this, id, now](renewal_result result)
@@ -523,10 +527,11 @@
             fleet_.on_replaced(id);
         }
         const auto failed = fleet_.workers().find(id);
-        const bool again =
-            failed != fleet_.workers().end() && failed->second.unresponsive;
-        fleet_.on_renewal_failed(id, result.report.sent_at,
-                                 result.confirmed_unanswered);
+        const bool known = failed != fleet_.workers().end();
+        const bool again = known && failed->second.unresponsive;
+        fleet_.on_renewal_failed(
+            id, result.report.sent_at,
+            known && is_silence_confirmed(failed->second, result));
         remove_departed(id);
         if (again)
         {
--- a/src/cell/leadership_idle_workers.cpp
+++ b/src/cell/leadership_silent_workers.cpp
@@ -1,15 +1,70 @@
-// Idle workers that do not answer, which the next leader has no reason to wait
-// for, and the preparation of a planned change of leaders.
+// Workers that do not answer: what confirms their silence, and the idle ones,
+// which the next leader has no reason to wait for; with the preparation of a
+// planned change of leaders.
 
 #include <coltsfootrack/base/log.hpp>
 #include <coltsfootrack/cell/leadership.hpp>
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
 namespace coltsfootrack::cell
 {
 
+// Asks another worker of the zone of a silent one, in the same way and at the
+// same time: an answer shows that the way is not at fault.
+void leadership::check_way_to(const fleet::worker_record& silent)
+{
+    std::vector<const fleet::worker_record*> others;
+    for (const auto& [id, worker] : fleet_.workers())
+    {
+        if (worker.listing.zone == silent.listing.zone && worker.synced &&
+            !worker.unresponsive)
+        {
+            others.push_back(&worker);
+        }
+    }
+    if (others.empty())
+    {
+        return;
+    }
+    const fleet::worker_record& other = *others[way_checks_++ % others.size()];
+    const base::time_point now = clock_.now();
+    lease_renewal request;
+    request.epoch = epoch();
+    request.send_by = now + options_.send_limit;
+    request.direct = true;
+    ports_.workers.renew(
+        other.listing, request,
+        posted<renewal_result>(
+            [this, id = other.listing.worker, zone = other.listing.zone,
+             now](const renewal_result& result)
+            {
+                record_outcome(call_kind::probe, result.outcome, id);
+                if (result.outcome == fleet::order_outcome::carried_out)
+                {
+                    base::time_point& newest = way_checked_[zone];
+                    newest = std::max(newest, now);
+                }
+            }));
+}
+
+// Whether the silence of a worker is its own. Without a daemon in its zone that
+// would know, it is if another worker there has answered the leader meanwhile
+// and the platform does not hear from this one either.
+bool leadership::is_silence_confirmed(const fleet::worker_record& worker,
+                                      const renewal_result& result) const
+{
+    if (result.confirmed_unanswered || !result.no_daemon_near)
+    {
+        return result.confirmed_unanswered;
+    }
+    const auto checked = way_checked_.find(worker.listing.zone);
+    return !worker.listed && checked != way_checked_.end() &&
+           checked->second >= result.report.sent_at;
+}
+
 // Takes an idle worker out of the stored ones. Nothing is started on it before
 // it is stored again, which it is once it answers.
 void leadership::withdraw_idle_worker(const base::worker_id& id)
--- a/src/cell/worker_relay.cpp
+++ b/src/cell/worker_relay.cpp
@@ -164,6 +164,11 @@
                         const lease_renewal& renewal,
                         const renewal_callback& done)
     {
+        if (renewal.direct)
+        {
+            direct_.renew(worker, renewal, done);
+            return;
+        }
         const auto peer = peer_for(worker);
         const bool near = peer && peers_.at(*peer).zone == worker.zone;
         if (renewal.unresponsive && !near)
@@ -174,6 +179,7 @@
                 [own = worker.zone == zone_, done](renewal_result result)
                 {
                     result.confirmed_unanswered = own && is_unanswered(result);
+                    result.no_daemon_near = !own && is_unanswered(result);
                     done(std::move(result));
                 });
             return;
--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -204,9 +204,11 @@
         result.outcome = unresponsive_.count(worker.worker.text()) != 0
                              ? fleet::order_outcome::unhealthy
                              : fleet::order_outcome::carried_out;
-        // As a peer in the worker's zone finds.
-        result.confirmed_unanswered =
-            result.outcome != fleet::order_outcome::carried_out;
+        // As a peer in the worker's zone finds, if there is one.
+        const bool answered =
+            result.outcome == fleet::order_outcome::carried_out;
+        result.confirmed_unanswered = !answered && daemon_near_;
+        result.no_daemon_near = !answered && !daemon_near_;
         loop_.after(milliseconds(10), [done, result] { done(result); });
     };
     made.workers.start =
@@ -361,11 +363,13 @@
     return wait_for([&] { return !is_stored(base::worker_id(id)); }, limit);
 }
 
-void leadership_harness::put_used_worker(const std::string& id)
+void leadership_harness::put_used_worker(const std::string& id,
+                                         const std::string& zone)
 {
     fleet::worker_listing listing;
     listing.worker = base::worker_id(id);
     listing.service = service;
+    listing.zone = base::zone_id(zone);
     worker_roster roster(parts);
     roster.add(listing);
     for (std::size_t part = 0; part < parts; ++part)
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -49,8 +49,15 @@
     void limit_team(std::int64_t cpu_milli);
 
     // Stores that a former leader has used a worker, which does not answer. It
-    // is not listed unless add_worker() was called.
-    void put_used_worker(const std::string& id);
+    // is not listed unless add_worker() was called. Listed workers are of the
+    // zone with the empty name.
+    void put_used_worker(const std::string& id, const std::string& zone = "");
+
+    // No worker has a daemon in its zone. Call before begin().
+    void set_no_daemon_near()
+    {
+        daemon_near_ = false;
+    }
 
     // From now on the reports of a worker list the end of the first task of a
     // job. Call inside run().
@@ -249,6 +256,7 @@
     std::map<std::string, std::vector<fleet::run_end>> reported_ends_;
     std::map<std::string, std::vector<fleet::listed_run>> reported_runs_;
     bool hand_over_ready_ = false;
+    bool daemon_near_ = true;
     std::map<std::string, int> renewal_counts_;
     std::set<std::size_t> held_parts_;
     std::vector<fleet::start_order> starts_;
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -18,6 +18,24 @@
 // Long enough for anything but the expiry of a lease, which takes 5 s.
 constexpr milliseconds soon{1000};
 
+// Whether an inherited job starts soon after the lease of a lost worker of this
+// zone has expired.
+bool starts_after_lease_of_lost_worker(const std::string& zone)
+{
+    cell_options options;
+    options.fleet.longest_lease = milliseconds(1000);
+    options.fleet.lease_delivery = milliseconds(100);
+    leadership_harness harness(epoch, options);
+    harness.set_no_daemon_near();
+    harness.add_worker("w1", true);
+    harness.put_used_worker("w2", zone);
+    harness.begin();
+    CPPUNIT_ASSERT(harness.wait_loaded(soon));
+    harness.send_job("former", epoch - 1);
+    CPPUNIT_ASSERT(!harness.wait_started("former", milliseconds(1000)));
+    return harness.wait_started("former", milliseconds(2500));
+}
+
 } // namespace
 
 class leadership_test : public CppUnit::TestFixture
@@ -32,6 +50,8 @@
     CPPUNIT_TEST(leader_inherited_job_waits_for_workers_not_listed_yet);
     CPPUNIT_TEST(leader_inherited_job_waits_until_list_is_read);
     CPPUNIT_TEST(leader_inherited_job_waits_for_used_worker_off_the_list);
+    CPPUNIT_TEST(leader_without_daemon_near_lost_worker_asks_another_one_there);
+    CPPUNIT_TEST(leader_without_answer_from_zone_waits_longer);
     CPPUNIT_TEST(leader_worker_is_stored_before_it_is_used);
     CPPUNIT_TEST(leader_worker_of_unknown_service_uses_up_no_limit);
     CPPUNIT_TEST(leader_worker_of_unknown_service_is_used_once_named);
@@ -187,6 +207,19 @@
         CPPUNIT_ASSERT(harness.wait_started("former", milliseconds(8000)));
     }
 
+    // Guards against a wait of 10 s after the lease of a lost worker, if the
+    // only daemon of its zone is lost as well (review/14).
+    void leader_without_daemon_near_lost_worker_asks_another_one_there()
+    {
+        CPPUNIT_ASSERT(starts_after_lease_of_lost_worker(""));
+    }
+
+    // Nobody answers in a zone that is cut off, and its workers may run on.
+    void leader_without_answer_from_zone_waits_longer()
+    {
+        CPPUNIT_ASSERT(!starts_after_lease_of_lost_worker("cut-off"));
+    }
+
     void leader_worker_is_stored_before_it_is_used()
     {
         leadership_harness harness(epoch);
--- a/test/cell/worker_relay_harness.hpp
+++ b/test/cell/worker_relay_harness.hpp
@@ -118,6 +118,7 @@
                    {
                        outcomes.push_back(result.outcome);
                        confirmed.push_back(result.confirmed_unanswered);
+                       no_daemon_near.push_back(result.no_daemon_near);
                    });
     }
 
@@ -161,6 +162,8 @@
     std::vector<fleet::order_outcome> outcomes;
     // Of each renewal, whether a near peer confirmed that it was unanswered.
     std::vector<bool> confirmed;
+    // Of each renewal, whether no peer is near that could confirm it.
+    std::vector<bool> no_daemon_near;
     worker_port direct_port;
     worker_relay relay;
     worker_port port;
--- a/test/cell/worker_relay_test.cpp
+++ b/test/cell/worker_relay_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(renewal_of_unresponsive_worker_takes_two_ways_at_once);
     CPPUNIT_TEST(unanswered_renewal_is_confirmed_by_peer_of_its_zone_only);
     CPPUNIT_TEST(unanswered_renewal_is_confirmed_by_leader_alone_in_its_zone);
+    CPPUNIT_TEST(renewal_of_worker_without_daemon_near_is_direct);
     CPPUNIT_TEST(answer_duplicate_ends_call_once);
     CPPUNIT_TEST(answer_after_deadline_before_expiry_counts);
     CPPUNIT_TEST(answer_after_expiry_changes_nothing);
@@ -309,6 +310,27 @@
         CPPUNIT_ASSERT(harness.confirmed == std::vector<bool>({true}));
     }
 
+    // The leader compares such a call with one to another worker there, so both
+    // take the same way.
+    void renewal_of_worker_without_daemon_near_is_direct()
+    {
+        worker_relay_harness harness;
+        harness.link("b-1", "b");
+        harness.renew(harness.worker("w", "a"), milliseconds(0), true);
+        lease_renewal compared;
+        compared.direct = true;
+        std::vector<bool> none_near;
+        harness.port.renew(harness.worker("v", "a"), compared,
+                           [&](const renewal_result& result)
+                           { none_near.push_back(result.no_daemon_near); });
+        CPPUNIT_ASSERT(harness.sent_calls.empty());
+        harness.direct_calls.at(0).finish(order_outcome::unknown);
+        harness.direct_calls.at(1).finish(order_outcome::carried_out);
+        CPPUNIT_ASSERT(harness.confirmed == std::vector<bool>({false}));
+        CPPUNIT_ASSERT(harness.no_daemon_near == std::vector<bool>({true}));
+        CPPUNIT_ASSERT(none_near == std::vector<bool>({false}));
+    }
+
     // A peer that does not answer is not taken for an unresponsive worker, and
     // a lost worker is known as such after one time-out.
     void renewal_of_unresponsive_worker_takes_two_ways_at_once()
