--- a/cmake/tests.cmake
+++ b/cmake/tests.cmake
@@ -96,7 +96,8 @@
 
 # The simulation of a cell in virtual time; tools/simulate.
 add_library(coltsfootrack-simulation STATIC
-    test/simulation/cell_departures.cpp test/simulation/cell_simulation.cpp
+    test/simulation/cell_departures.cpp test/simulation/cell_moves.cpp
+    test/simulation/cell_simulation.cpp
     test/simulation/standing_progress.cpp test/simulation/store_model.cpp
     test/simulation/worker_model.cpp test/soak/history_checker.cpp)
 target_include_directories(coltsfootrack-simulation PUBLIC test)
--- a/test/simulation/cell_simulation.cpp
+++ b/test/simulation/cell_simulation.cpp
@@ -20,7 +20,10 @@
 constexpr const char* worker_table = "workers";
 // Ends the row of a worker that has announced its departure.
 constexpr const char* leaving_mark = " leaving";
+// Before it in the row of a worker of the second service.
+constexpr const char* second_service_mark = " second";
 const base::service_id service("s");
+const base::service_id second_service("t");
 // All jobs are on one queue, which is open.
 const cell::cancel_right callers_right{base::team_id(), "q"};
 const std::vector<std::string> zones = {"a", "b", "c"};
@@ -154,6 +157,10 @@
     options.advertised_port = static_cast<std::uint16_t>(1000 + index);
     options.processor_milli = 250;
     options.job_parts = 2;
+    if (options_.moving_queue)
+    {
+        options.worker_report_interval = report_interval;
+    }
     started.daemon = std::make_unique<cell::cell_daemon>(
         options, make_ports(index), time_.clock());
     started.events = started.daemon->events();
@@ -173,6 +180,20 @@
     }
 }
 
+// A planned stop.
+void cell_simulation::hand_over(std::size_t index)
+{
+    nodes_[index].daemon->hand_over();
+    time_.after(milliseconds(1000),
+                [this, index, alive = std::weak_ptr<bool>(nodes_[index].alive)]
+                {
+                    if (!alive.expired())
+                    {
+                        kill_node(index);
+                    }
+                });
+}
+
 void cell_simulation::kill_node(std::size_t index)
 {
     node& killed = nodes_[index];
@@ -299,19 +320,20 @@
     made.store = store_.port(nodes_[index].id.text(), alive);
     made.catalogue.table = "op";
     made.catalogue.key = "config";
-    made.catalogue.read = [](const std::string& /*document*/)
+    made.catalogue.read = [](const std::string& document)
     {
         fleet::catalogue value;
-        value.version = 1;
+        value.version = std::stoull(document);
         fleet::queue_policy queue;
         queue.name = "q";
         queue.host = "h";
         queue.path_prefix = "/";
-        queue.service = service;
+        queue.service = value.version % 2 == 1 ? service : second_service;
         queue.max_attempts = max_attempts;
         queue.open = true;
         value.queues["q"] = queue;
         value.services[service].service = service;
+        value.services[second_service].service = second_service;
         return absl::StatusOr<fleet::catalogue>(value);
     };
     made.workers.list_table = worker_table;
@@ -321,10 +343,11 @@
         fleet::worker_listing listing;
         listing.worker = base::worker_id(key);
         listing.address = "10.0.0.2:1";
-        listing.service = service;
-        const std::size_t mark = value.find(leaving_mark);
-        listing.zone = base::zone_id(value.substr(0, mark));
-        listing.leaving = mark != std::string::npos;
+        listing.service = value.find(second_service_mark) == std::string::npos
+                              ? service
+                              : second_service;
+        listing.zone = base::zone_id(value.substr(0, value.find(' ')));
+        listing.leaving = value.find(leaving_mark) != std::string::npos;
         listing.capacity = {worker_cpu, 100000, 0};
         listing.labels = {"k", "r"};
         return absl::StatusOr<fleet::worker_listing>(listing);
@@ -637,6 +660,7 @@
             checker_.apply(nlohmann::json::array({event}));
         },
         [this, id](std::uint64_t life) { return first_clock_of(id, life); });
+    entry.second_service = options_.moving_queue && next_worker_ % 2 == 0;
     workers_[id] = std::move(entry);
 }
 
@@ -658,7 +682,9 @@
 void cell_simulation::list(const std::string& id, const worker_entry& worker)
 {
     store_.put({worker_table, "", id},
-               worker.zone.text() + (worker.leaving ? leaving_mark : ""));
+               worker.zone.text() +
+                   (worker.second_service ? second_service_mark : "") +
+                   (worker.leaving ? leaving_mark : ""));
 }
 
 // The platform's list: a worker reports itself, and is removed after a silence.
@@ -673,7 +699,9 @@
             worker.heard = time_.now();
         }
         const bool listed = time_.now() - worker.heard < listing_timeout;
-        if (listed && !worker.listed)
+        const bool rewritten =
+            options_.moving_queue && worker.heard == time_.now();
+        if (listed && (!worker.listed || rewritten))
         {
             list(id, worker);
         }
@@ -840,16 +868,7 @@
     case 3:
         if (nodes_[index].alive && !nodes_[index].paused)
         {
-            nodes_[index].daemon->hand_over();
-            time_.after(
-                milliseconds(1000),
-                [this, index, alive = std::weak_ptr<bool>(nodes_[index].alive)]
-                {
-                    if (!alive.expired())
-                    {
-                        kill_node(index);
-                    }
-                });
+            hand_over(index);
         }
         break;
     case 4:
@@ -1189,6 +1208,11 @@
     {
         time_.after(milliseconds(4000), [this] { inject_restart_and_cut(); });
     }
+    if (options_.moving_queue)
+    {
+        time_.after(milliseconds(4000), [this] { move_queue(); });
+        time_.after(milliseconds(5000), [this] { inject_moves(); });
+    }
     if (options_.leaving_workers)
     {
         time_.after(milliseconds(1500), [this] { submit_standing_job(); });
--- a/test/simulation/cell_simulation.hpp
+++ b/test/simulation/cell_simulation.hpp
@@ -50,6 +50,11 @@
     // Whether the leader or the links of a daemon may fail in the same round of
     // faults as a worker that is lost or cut off without an announcement.
     bool losses_near_leader_changes = true;
+    // Whether the queue moves between two services again and again, while
+    // workers that have announced their departure are cut off, as others are,
+    // and leaders are killed, paused and stopped as planned. Workers then write
+    // their entries with each report, and remove them when they leave.
+    bool moving_queue = false;
     // Whether what happens is kept as text.
     bool keep_history = false;
 };
@@ -79,6 +84,10 @@
 // the longest lease, which exceeds what standing_progress allows.
 simulation_options leaving_apart_scenario(std::uint64_t seed);
 
+// Two services, a queue that moves between them, and workers that are cut off
+// or lost near changes of leaders, some of them after an announcement.
+simulation_options moving_scenario(std::uint64_t seed);
+
 // A cell of daemons, a store, workers and callers in one thread and in virtual
 // time. Every choice is drawn from the seed, so the same seed gives the same
 // history.
@@ -176,6 +185,8 @@
         bool listed = false;
         // Has announced its departure.
         bool leaving = false;
+        // The one of the two services.
+        bool second_service = false;
         // Not reached by the daemons of this zone, or of all if it is "*".
         std::string cut_from;
         bool cut_from_store = false;
@@ -237,6 +248,11 @@
     std::optional<std::string> pick_steady_worker();
     void announce_departure();
     void replace_worker(const base::zone_id& zone);
+    void move_queue();
+    void inject_moves();
+    void inject_loss_while_moving();
+    void leave(const std::string& id);
+    void hand_over(std::size_t index);
     bool fault_lasts() const;
     void check_progress();
     milliseconds first_clock_of(const std::string& worker,
@@ -268,6 +284,7 @@
     int next_job_ = 0;
     int next_worker_ = 0;
     int departures_ = 0;
+    int catalogue_version_ = 1;
     // The zones that are cut off from the store and the other zones.
     std::set<std::string> cut_zones_;
     bool faults_over_ = false;
--- a/test/simulation/main.cpp
+++ b/test/simulation/main.cpp
@@ -9,8 +9,9 @@
 // --recut workers restart and are cut off soon after; with --any-clock the
 // clock of each life of a worker starts at another time; with --leaving there
 // are standing tasks, and workers announce their departure and leave; with
-// --leaving-apart leaders change only while no worker is lost unannounced. The
-// last line is "N passed, N failed".
+// --leaving-apart leaders change only while no worker is lost unannounced; with
+// --moving a queue moves between two services, and workers are lost, cut off
+// and leave near changes of leaders. The last line is "N passed, N failed".
 
 #include "cell_simulation.hpp"
 
@@ -43,7 +44,8 @@
         {"--recut", coltsfootrack::simulation::recut_scenario},
         {"--any-clock", coltsfootrack::simulation::any_clock_scenario},
         {"--leaving", coltsfootrack::simulation::leaving_scenario},
-        {"--leaving-apart", coltsfootrack::simulation::leaving_apart_scenario}};
+        {"--leaving-apart", coltsfootrack::simulation::leaving_apart_scenario},
+        {"--moving", coltsfootrack::simulation::moving_scenario}};
     simulation_options options;
     if (const auto found = scenarios.find(words.at(0));
         found != scenarios.end())
--- a/test/simulation/simulation_test.cpp
+++ b/test/simulation/simulation_test.cpp
@@ -29,6 +29,7 @@
     CPPUNIT_TEST(vm_lost_for_good_costs_no_run_while_store_is_away);
     CPPUNIT_TEST(workers_cut_off_after_restart_break_no_rule);
     CPPUNIT_TEST(standing_tasks_run_again_in_time_while_workers_leave);
+    CPPUNIT_TEST(queue_that_moves_costs_no_second_run);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -127,6 +128,17 @@
         }
     }
 
+    // Guards against two runs of a task after a change of leaders, while the
+    // queue moves between services (review/11) and workers that announced their
+    // departure are cut off (review/12).
+    void queue_that_moves_costs_no_second_run()
+    {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed)
+        {
+            check(moving_scenario(seed), 50);
+        }
+    }
+
 private:
     static void check_leaving(const simulation_options& options)
     {
