Wait for reports instead of a time in tests of idle workers

On a busy machine the first report may take longer than the 0.1 s that the new tests allowed, and a worker without one is not idle. They wait for the report now.

--- a/test/cell/leadership_harness.cpp
+++ b/test/cell/leadership_harness.cpp
@@ -281,6 +281,14 @@
     reported_runs_[worker].push_back(listed);
 }
 
+bool leadership_harness::wait_reported(const std::string& worker,
+                                       milliseconds limit)
+{
+    // One asks whether there is a worker, the next one for its first report.
+    constexpr int read = 3;
+    return wait_for([&] { return renewals(worker) >= read; }, limit);
+}
+
 bool leadership_harness::wait_hand_over(milliseconds limit)
 {
     return wait_for([this] { return hand_over_ready_; }, limit);
--- a/test/cell/leadership_harness.hpp
+++ b/test/cell/leadership_harness.hpp
@@ -67,6 +67,11 @@
     // stored. Call inside run().
     void report_run(const std::string& worker);
 
+    // Waits until the leader has read a report of a worker that it uses; false
+    // if the limit passes.
+    bool wait_reported(const std::string& worker,
+                       std::chrono::milliseconds limit);
+
     // A worker does not answer any more; its row stays. Call inside run().
     void fall_silent(const std::string& worker)
     {
--- a/test/cell/leadership_test.cpp
+++ b/test/cell/leadership_test.cpp
@@ -370,8 +370,8 @@
         {
             CPPUNIT_ASSERT(harness.wait_stored(id, soon));
         }
-        // Its first report has been read by then.
-        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(harness.wait_reported("w2", soon));
+        CPPUNIT_ASSERT(harness.wait_reported("w3", soon));
         harness.run(
             [&]
             {
@@ -392,7 +392,7 @@
         harness.begin();
         CPPUNIT_ASSERT(harness.wait_loaded(soon));
         CPPUNIT_ASSERT(harness.wait_stored("w1", soon));
-        std::this_thread::sleep_for(milliseconds(100));
+        CPPUNIT_ASSERT(harness.wait_reported("w1", soon));
         harness.run([&] { harness.fall_silent("w1"); });
         CPPUNIT_ASSERT(harness.wait_not_stored("w1", soon));
         harness.send_job("job", epoch);
@@ -421,7 +421,10 @@
         {
             CPPUNIT_ASSERT(harness.wait_stored(id, soon));
         }
-        std::this_thread::sleep_for(milliseconds(100));
+        for (const char* id : {"w1", "w2", "w3"})
+        {
+            CPPUNIT_ASSERT(harness.wait_reported(id, soon));
+        }
         harness.run(
             [&]
             {
@@ -429,7 +432,7 @@
                 harness.fall_silent("w3");
                 harness.prepare_hand_over();
             });
-        CPPUNIT_ASSERT(harness.wait_hand_over(milliseconds(600)));
+        CPPUNIT_ASSERT(harness.wait_hand_over(soon));
         CPPUNIT_ASSERT(harness.wait_not_stored("w2", milliseconds(0)));
         CPPUNIT_ASSERT(harness.wait_stored("w1", milliseconds(0)));
         CPPUNIT_ASSERT(harness.wait_stored("w3", milliseconds(0)));
@@ -437,15 +440,19 @@
 
     void leader_whose_workers_answer_hands_over_at_once()
     {
-        leadership_harness harness(epoch);
+        cell_options options;
+        options.idle_answer_timeout = std::chrono::minutes(1);
+        leadership_harness harness(epoch, options);
         harness.add_worker("w1", true);
         harness.add_worker("w2", true);
         harness.begin();
         CPPUNIT_ASSERT(harness.wait_loaded(soon));
         CPPUNIT_ASSERT(harness.wait_stored("w1", soon));
         CPPUNIT_ASSERT(harness.wait_stored("w2", soon));
+        CPPUNIT_ASSERT(harness.wait_reported("w1", soon));
+        CPPUNIT_ASSERT(harness.wait_reported("w2", soon));
         harness.run([&] { harness.prepare_hand_over(); });
-        CPPUNIT_ASSERT(harness.wait_hand_over(milliseconds(200)));
+        CPPUNIT_ASSERT(harness.wait_hand_over(soon));
         CPPUNIT_ASSERT(harness.wait_stored("w1", milliseconds(0)));
         CPPUNIT_ASSERT(harness.wait_stored("w2", milliseconds(0)));
     }
