Give the state of a hand-over a constructor, for clang

clang does not take std::optional::emplace() without arguments for a nested class whose members have initializers, so the tidy step of the check failed; gcc accepts it. The class has a constructor now.

--- a/include/coltsfootrack/cell/leader_election.hpp
+++ b/include/coltsfootrack/cell/leader_election.hpp
@@ -51,6 +51,7 @@
     // This daemon is being stopped and makes no more claims.
     void stop();
 
+    // Whether stop() was called.
     bool stopping() const
     {
         return stopping_;
--- a/include/coltsfootrack/cell/leadership.hpp
+++ b/include/coltsfootrack/cell/leadership.hpp
@@ -150,6 +150,11 @@
     // A planned change of leaders that is being prepared.
     struct hand_over
     {
+        explicit hand_over(std::function<void()> on_ready)
+            : ready(std::move(on_ready))
+        {
+        }
+
         // The idle workers that have not answered since.
         std::set<base::worker_id> silent;
         // Those are withdrawn, and stored no more once the rows are written.
--- a/src/cell/leadership_silent_workers.cpp
+++ b/src/cell/leadership_silent_workers.cpp
@@ -104,8 +104,7 @@
         ready();
         return;
     }
-    hand_over_.emplace();
-    hand_over_->ready = std::move(ready);
+    hand_over_.emplace(std::move(ready));
     for (const auto& [id, worker] : fleet_.workers())
     {
         if (roster_.contains(id) && fleet_.is_idle(id))
